--- /dev/null
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -0,0 +1,120 @@
+/// @file
+/// Runs jobs on the targets that this instance owns: queueing, placing, refusing, retrying, stopping. No clock, thread
+/// or socket inside; events and the time go in, orders and ends of jobs come out through interfaces.
+#pragma once
+
+#include <eelgrasscleat/Dispatch/JobTypes.h>
+#include <eelgrasscleat/Dispatch/TargetOrders.h>
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace Eelgrasscleat
+{
+
+/// Time limits and thresholds of a dispatcher.
+struct DispatcherPolicy
+{
+    /// Longest lease of a run; the platform's bound on it.
+    Duration leaseLength = std::chrono::milliseconds(1000);
+    /// A home that was silent for longer gets no task started; together with the lease it stays under the time after
+    /// which a caller submits a job again (1,300 ms on the users' deployments).
+    Duration homeFreshness = std::chrono::milliseconds(250);
+    /// A home that was silent for longer is taken as gone, and its jobs are stopped.
+    Duration homeSilence = std::chrono::milliseconds(600);
+    /// Longest time that an inspection waits for the end of a run: a third of the lease, so that two may fail.
+    std::chrono::milliseconds inspectWait { 300 };
+    /// Time between inspections of a target without runs, which find restarts and fences early.
+    Duration idleInspectInterval = std::chrono::seconds(10);
+    /// Late answers are worth something up to this multiple of the latency objective.
+    double usefulLateness = 3;
+    /// Most tasks that wait; beyond it jobs are refused. Bounds memory: a task takes about 100 bytes.
+    std::uint32_t queuedTasks = 20000;
+};
+
+/// Who submitted a job: the instance that holds the caller's connection, in one session with this one.
+struct JobOrigin
+{
+    InstanceName home;
+    std::uint64_t ticket = 0; ///< Chosen by the home; handed back with the end.
+};
+
+/// Room and load of a dispatcher, as it tells the others.
+struct DispatcherLoad
+{
+    std::uint32_t targets = 0; ///< Usable targets.
+    std::uint64_t totalMilliCores = 0;
+    std::uint64_t freeMilliCores = 0;
+    std::uint32_t largestMilliCores = 0; ///< Largest capacity of one target.
+    std::uint64_t queuedCoreMillis = 0; ///< Work of waiting tasks, in milliseconds of a thousandth of a core / 1000.
+    bool draining = false;
+    bool operator==(const DispatcherLoad &) const = default;
+};
+
+/// What a dispatcher tells its surroundings. Implementations must not call back into the dispatcher.
+class DispatcherObserver
+{
+public:
+    virtual ~DispatcherObserver() = default;
+    /// A job has ended; each submitted job ends once.
+    virtual void jobEnded(const InstanceName &home, const JobEnd &end) = 0;
+    /// A decision about a run: for logs and counters.
+    virtual void runDecided(std::string_view decision, const RunName &run, const TargetName &target, double detail) = 0;
+    /// A belief about a target changed: for logs and counters.
+    virtual void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail) = 0;
+};
+
+/// The dispatcher.
+class Dispatcher
+{
+public:
+    Dispatcher(const DispatcherPolicy &policy, TargetOrders &orders, DispatcherObserver &observer);
+    ~Dispatcher();
+    Dispatcher(const Dispatcher &) = delete;
+    Dispatcher &operator=(const Dispatcher &) = delete;
+
+    /// This instance owns a target under @p token, or its description or token changed.
+    void targetOwned(const DispatchTarget &target, FencingToken token, Instant now);
+    /// The target is no longer owned, or no longer exists. Its runs are given up.
+    void targetReleased(const TargetName &target, Instant now);
+    /// @returns the targets owned.
+    [[nodiscard]] std::vector<TargetName> targets() const;
+
+    /// Takes a job, or refuses it through the observer.
+    void submit(const JobOrigin &origin, JobRequest request, Instant now);
+    /// The caller left or canceled.
+    void cancel(const JobOrigin &origin, Instant now);
+    /// A message of a home arrived.
+    void homeHeard(const InstanceName &home, Instant now);
+    /// A home is gone, or its session ended: its jobs are stopped.
+    void homeLost(const InstanceName &home, Instant now);
+    /// Planned stop, or hand-over of the targets: waiting jobs are refused, running ones end.
+    void drain(Instant now);
+    /// The targets stay after all.
+    void resume();
+    /// @returns whether no job is left and no run may be at work.
+    [[nodiscard]] bool isDrained() const;
+
+    /// Answers to orders.
+    void startAnswered(const TargetName &target, const RunName &run, const OrderResult &result, Instant now);
+    void stopAnswered(const TargetName &target, const RunName &run, const OrderResult &result, Instant now);
+    void inspected(const TargetName &target, const TargetReport &report, const OrderResult &result, Instant now);
+    void inspectionFailed(const TargetName &target, const OrderResult &result, Instant now);
+
+    /// Does what is due; to be called every few tens of milliseconds.
+    void advance(Instant now);
+
+    [[nodiscard]] DispatcherLoad load() const;
+    /// @returns jobs of a route of which no task has started.
+    [[nodiscard]] std::uint32_t pendingJobs(const RouteName &route) const;
+    /// @returns jobs that have not ended.
+    [[nodiscard]] std::size_t jobCount() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace Eelgrasscleat
--- a/lib/Placement/SpeedModel.h
+++ b/include/eelgrasscleat/Placement/SpeedModel.h
@@ -13,6 +13,13 @@
 class SpeedEstimate
 {
 public:
+    /// @param driftVariance variance that the slowness gains with each sample: the larger, the sooner a changed speed is
+    /// followed
+    explicit SpeedEstimate(double driftVariance = kSteadyDriftVariance)
+        : m_driftVariance(driftVariance)
+    {
+    }
+
     /// @returns the estimate less one standard deviation, so that a little known target gets tried.
     [[nodiscard]] double optimisticLogSlowness() const;
     [[nodiscard]] double logSlowness() const
@@ -25,6 +32,10 @@
     void learn(double logRatio, double noiseVariance);
 
 private:
+    /// Drift of targets whose speed seldom changes: a hundredth of a percent of a squared deviation of 0.3 a sample.
+    static constexpr double kSteadyDriftVariance = 1e-5;
+
+    double m_driftVariance;
     double m_mean = 0;
     double m_variance = 0.25; ///< Standard deviation 0.5: most targets are within 1.65x of each other.
 };
--- a/include/eelgrasscleat/Support/Log.h
+++ b/include/eelgrasscleat/Support/Log.h
@@ -1,5 +1,6 @@
 /// @file
-/// Log lines as JSON with typed fields, written through log4cxx to standard error.
+/// Log lines as JSON with typed fields, written through log4cxx to standard error or, without ever blocking the caller,
+/// to standard output.
 #pragma once
 
 #include <cstdint>
@@ -37,10 +38,17 @@
     }
 };
 
+/// Where lines go.
+enum class LogSink
+{
+    StandardError, ///< Written at once by the calling thread.
+    StandardOutput, ///< Written by a thread of its own; lines are dropped and counted while it lags.
+};
+
 /// Sets up logging for this process.
 /// @param process name of the process, in every line
 /// @param level lowest level that is written; unknown names mean info
-void startLogging(const std::string &process, std::string_view level);
+void startLogging(const std::string &process, std::string_view level, LogSink sink = LogSink::StandardError);
 
 /// Writes one line.
 void writeLog(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
--- a/include/eelgrasscleat/Support/Metrics.h
+++ b/include/eelgrasscleat/Support/Metrics.h
@@ -11,6 +11,7 @@
 {
 class Counter;
 class Gauge;
+class Histogram;
 class Registry;
 } // namespace prometheus
 
@@ -38,6 +39,10 @@
     prometheus::Gauge &
     gauge(std::string_view name, std::string_view label, std::string_view value, std::string_view help);
 
+    /// The same for a histogram of latencies in milliseconds, with fixed buckets from 1 ms to 5 s.
+    prometheus::Histogram &
+    latency(std::string_view name, std::string_view label, std::string_view value, std::string_view help);
+
     /// @returns all metrics in the text format.
     [[nodiscard]] std::string text() const;
 
--- a/include/eelgrasscleat/Wire/HttpClient.h
+++ b/include/eelgrasscleat/Wire/HttpClient.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Eelgrasscleat
 {
@@ -32,6 +33,13 @@
     std::string detail; ///< What went wrong, for the log.
 };
 
+/// A header of a call beyond those that every call has.
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
 /// A call to make.
 struct HttpCall
 {
@@ -39,6 +47,7 @@
     std::string target = "/";
     std::string body;
     std::string authorization; ///< Value of that header; empty for none.
+    std::vector<HttpHeader> headers;
     std::chrono::milliseconds timeout { 30000 }; ///< From the call to its end; 0: none.
     Instant sendBefore = Instant::max(); ///< Not sent at all once this has passed.
 };
--- a/include/eelgrasscleat/Wire/HttpServer.h
+++ b/include/eelgrasscleat/Wire/HttpServer.h
@@ -12,6 +12,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace Eelgrasscleat
 {
@@ -23,6 +25,8 @@
     std::string method; ///< For example "POST".
     std::string target; ///< Path and query.
     std::string authorization; ///< Value of that header, or empty.
+    std::string host; ///< Value of that header, or empty.
+    std::vector<std::pair<std::string, std::string>> headers; ///< All, with names as the caller wrote them.
     std::string body;
     std::string peer; ///< Address and port of the caller.
 };
@@ -91,6 +95,10 @@
     void closeAfterAnswers();
     /// Stops accepting connections; open ones go on.
     void stopListening();
+    /// Closes all connections at once, without answers.
+    void abortAll();
+    /// Changes the bounds for requests that begin from now on.
+    void setLimits(const HttpServerLimits &limits);
     /// Closes a request's connection at once, without an answer. For stand-ins that fail on purpose.
     void abort(CallerId id);
     /// @returns whether all requests are answered and all answers written.
--- a/include/eelgrasscleat/Wire/PeerNetwork.h
+++ b/include/eelgrasscleat/Wire/PeerNetwork.h
@@ -10,6 +10,7 @@
 
 #include <peer.pb.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -24,6 +25,19 @@
     InstanceName name;
     std::string address; ///< IP number.
     std::uint16_t port = 0;
+    bool operator==(const PeerEndpoint &) const = default;
+};
+
+/// Time limits of the connections between instances.
+struct PeerTiming
+{
+    /// Time for a connection to be made.
+    std::chrono::milliseconds connect { 2000 };
+    /// Wait before connecting again, doubled at each failure up to the longest.
+    std::chrono::milliseconds shortestReconnect { 100 };
+    std::chrono::milliseconds longestReconnect { 2000 };
+    /// A connection breaks when bytes stay unacknowledged for this long; 0: as long as the kernel tries.
+    std::chrono::milliseconds unacknowledged { 0 };
 };
 
 /// What the network calls, on its own thread.
@@ -54,7 +68,10 @@
 public:
     /// @param self stamped as the sender of each message
     /// @param peers all other entry instances
-    PeerNetwork(PeerNetworkHandler &handler, PeerId self, std::vector<PeerEndpoint> peers);
+    PeerNetwork(PeerNetworkHandler &handler,
+                PeerId self,
+                std::vector<PeerEndpoint> peers,
+                const PeerTiming &timing = {});
     ~PeerNetwork();
     PeerNetwork(const PeerNetwork &) = delete;
     PeerNetwork &operator=(const PeerNetwork &) = delete;
@@ -62,6 +79,10 @@
     /// Listens for peers and starts to connect to them.
     /// @returns the port, or an error with step Connect.
     Result<std::uint16_t> start(const std::string &address, std::uint16_t port);
+    /// Replaces the set of peers: connects to new ones, and drops the connections to those that are gone or moved.
+    void setPeers(const std::vector<PeerEndpoint> &peers);
+    /// Breaks all connections, so that nothing sent before is received or delivered any more.
+    void resetConnections();
     /// Sends a message if the peer is connected.
     void send(const InstanceName &peer, schema::PeerMessage message);
     /// @returns whether all messages have been handed to the kernel.
--- /dev/null
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -0,0 +1,397 @@
+/// @file
+/// Admission, order and end of jobs.
+#include <eelgrasscleat/Dispatch/Dispatcher.h>
+
+#include "DispatcherImpl.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Eelgrasscleat
+{
+
+namespace
+{
+
+/// Shortest pause that a refused caller is told: a round trip of the client and one placement.
+constexpr Duration kShortestRetry = std::chrono::milliseconds(100);
+/// Longest: what a caller gains from a job is over by then on the users' deployments.
+constexpr Duration kLongestRetry = std::chrono::seconds(5);
+/// Job names are remembered for this long after their last run, so that run numbers of a resubmission go on rising.
+constexpr Duration kRecentJobs = std::chrono::seconds(20);
+/// Jobs that can't be placed are skipped at most this often in one pass, which bounds its time.
+constexpr std::uint32_t kSkippedJobs = 16;
+
+} // namespace
+
+void Dispatcher::Impl::refuse(const JobOrigin &origin, const JobId &id, JobEndReason reason, Duration retryAfter)
+{
+    const Duration pause = std::clamp(retryAfter, kShortestRetry, kLongestRetry);
+    m_observer.jobEnded(origin.home, { id, origin.ticket, JobOutcome::Refused, reason, pause });
+}
+
+Instant Dispatcher::Impl::heardAt(const InstanceName &home) const
+{
+    const auto it = m_homes.find(home);
+    return it == m_homes.end() ? Instant {} : it->second;
+}
+
+double Dispatcher::Impl::serviceRate(Instant now) const
+{
+    double milliCores = 0;
+    for (const auto &it : m_targets) {
+        if (m_chooser.isUsable(*it.second, now)) {
+            milliCores += it.second->ledger.target().capacity.milliCores
+                / std::exp(it.second->ledger.speed.logSlowness());
+        }
+    }
+    return milliCores;
+}
+
+Duration Dispatcher::Impl::expectedWait(const JobRequest &request, Instant now)
+{
+    double demand = 0;
+    for (const JobStep &it : request.steps) {
+        demand += static_cast<double>(it.demand.milliCores) * it.tasks;
+    }
+    if (static_cast<double>(load(now).freeMilliCores) >= demand) {
+        return {};
+    }
+    const double rate = serviceRate(now);
+    if (rate <= 0) {
+        return kLongestRetry;
+    }
+    const QueuedWork ahead = m_board.queued(request.priority);
+    return Duration(static_cast<Duration::rep>(ahead.milliCoreMicros / rate));
+}
+
+void Dispatcher::Impl::submit(const JobOrigin &origin, JobRequest request, Instant now)
+{
+    if (BoardJob *earlier = m_board.findById(request.id)) {
+        giveUp(*earlier, JobOutcome::Abandoned, JobEndReason::Superseded, now);
+    }
+    const JobId id = request.id;
+    if (m_draining) {
+        refuse(origin, id, JobEndReason::Stopping, kShortestRetry);
+        return;
+    }
+    for (const JobStep &it : request.steps) {
+        if (!m_chooser.anyFits(request.service, it)) {
+            refuse(origin, id, JobEndReason::NoFittingTarget, kLongestRetry);
+            return;
+        }
+    }
+    if (m_board.queued(request.priority).tasks >= m_policy.queuedTasks) {
+        refuse(origin, id, JobEndReason::QueueFull, expectedWait(request, now));
+        return;
+    }
+    const Duration wait = expectedWait(request, now);
+    BoardJob &job = m_board.add(origin, std::move(request), m_policy);
+    if (now + wait + job.chain > job.uselessAt) {
+        giveUp(job, JobOutcome::Refused, JobEndReason::TooLate, now);
+        return;
+    }
+    placeWaiting(now);
+}
+
+void Dispatcher::Impl::cancel(const JobOrigin &origin, Instant now)
+{
+    if (BoardJob *job = m_board.findByOrigin(origin)) {
+        giveUp(*job, JobOutcome::Canceled, JobEndReason::CallerGone, now);
+        placeWaiting(now);
+    }
+}
+
+void Dispatcher::Impl::homeHeard(const InstanceName &home, Instant now)
+{
+    m_homes[home] = now;
+}
+
+void Dispatcher::Impl::homeLost(const InstanceName &home, Instant now)
+{
+    std::vector<BoardJob *> lost;
+    for (const auto &it : m_board.jobs()) {
+        if (it.second->origin.home == home) {
+            lost.push_back(it.second.get());
+        }
+    }
+    for (BoardJob *it : lost) {
+        giveUp(*it, JobOutcome::Abandoned, JobEndReason::CallerGone, now);
+    }
+    m_homes.erase(home);
+    placeWaiting(now);
+}
+
+void Dispatcher::Impl::drain(Instant now)
+{
+    m_draining = true;
+    std::vector<BoardJob *> unstarted;
+    for (const auto &it : m_board.jobs()) {
+        if (it.second->mayHaveRun == 0) {
+            unstarted.push_back(it.second.get());
+        }
+    }
+    for (BoardJob *it : unstarted) {
+        giveUp(*it, JobOutcome::Refused, JobEndReason::Stopping, now);
+    }
+}
+
+void Dispatcher::Impl::giveUp(BoardJob &job, JobOutcome outcome, JobEndReason reason, Instant now)
+{
+    if (outcome == JobOutcome::Refused && job.mayHaveRun > 0) {
+        outcome = JobOutcome::Abandoned;
+    }
+    for (const auto &target : m_targets) {
+        for (auto &it : target.second->ledger.runs()) {
+            if (it.second.job == job.number && it.second.state != RunState::Stopping) {
+                stopRun(*target.second, it.first, it.second, now);
+            }
+        }
+    }
+    endJob(job, outcome, reason, now);
+}
+
+void Dispatcher::Impl::endJob(BoardJob &job, JobOutcome outcome, JobEndReason reason, Instant now)
+{
+    std::uint32_t dying = 0;
+    for (const auto &target : m_targets) {
+        for (auto &it : target.second->ledger.runs()) {
+            if (it.second.job == job.number) {
+                ++dying;
+            }
+        }
+    }
+    if (dying > 0) {
+        m_recent[job.request.id].dying += dying;
+    }
+    Duration retryAfter {};
+    if (outcome == JobOutcome::Refused) {
+        retryAfter = std::clamp(expectedWait(job.request, now), kShortestRetry, kLongestRetry);
+    }
+    const InstanceName home = job.origin.home;
+    const JobEnd end { job.request.id, job.origin.ticket, outcome, reason, retryAfter };
+    m_board.remove(job.number);
+    m_observer.jobEnded(home, end);
+}
+
+/// Places ready tasks as far as there is room, in the order of the board.
+void Dispatcher::Impl::placeWaiting(Instant now)
+{
+    std::uint32_t skipped = 0;
+    for (BoardJob *job : m_board.waiting(now)) {
+        const auto recent = m_recent.find(job->request.id);
+        if (recent != m_recent.end() && recent->second.dying > 0) {
+            continue; // Runs of an earlier submission may be at work.
+        }
+        if (now - heardAt(job->origin.home) > m_policy.homeFreshness) {
+            continue;
+        }
+        if (!placeTasks(*job, now) && ++skipped >= kSkippedJobs) {
+            return;
+        }
+    }
+}
+
+/// @returns whether all ready tasks of the job were placed.
+bool Dispatcher::Impl::placeTasks(BoardJob &job, Instant now)
+{
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        for (std::uint32_t i = 0; i < job.steps[step].size(); ++i) {
+            if (job.steps[step][i].state != TaskState::Ready) {
+                continue;
+            }
+            const TaskName task { job.request.id, step, i };
+            OwnedTarget *target = m_chooser.choose(job, task, now);
+            if (target == nullptr) {
+                return false;
+            }
+            startRun(*target, job, task, now);
+        }
+    }
+    return true;
+}
+
+void Dispatcher::Impl::expireJobs(Instant now)
+{
+    std::vector<BoardJob *> late;
+    std::vector<BoardJob *> hopeless;
+    for (const auto &it : m_board.jobs()) {
+        BoardJob &job = *it.second;
+        if (now >= job.request.deadline) {
+            late.push_back(&job);
+        } else if (job.mayHaveRun == 0 && now + job.chain > job.uselessAt) {
+            hopeless.push_back(&job);
+        }
+    }
+    for (BoardJob *it : late) {
+        const JobOutcome outcome = it->mayHaveRun > 0 ? JobOutcome::Expired : JobOutcome::Refused;
+        giveUp(*it, outcome, JobEndReason::DeadlinePassed, now);
+    }
+    for (BoardJob *it : hopeless) {
+        giveUp(*it, JobOutcome::Refused, JobEndReason::TooLate, now);
+    }
+}
+
+void Dispatcher::Impl::advance(Instant now)
+{
+    std::vector<InstanceName> silent;
+    for (const auto &it : m_homes) {
+        if (now - it.second > m_policy.homeSilence) {
+            silent.push_back(it.first);
+        }
+    }
+    for (const InstanceName &it : silent) {
+        homeLost(it, now);
+    }
+    expireJobs(now);
+    for (const auto &it : m_targets) {
+        advanceTarget(*it.second, now);
+    }
+    std::erase_if(m_recent, [&](const auto &it) {
+        return it.second.dying == 0 && now - it.second.lastUse > kRecentJobs;
+    });
+    placeWaiting(now);
+}
+
+DispatcherLoad Dispatcher::Impl::load(Instant now) const
+{
+    DispatcherLoad load;
+    load.draining = m_draining;
+    for (const auto &it : m_targets) {
+        if (!m_chooser.isUsable(*it.second, now)) {
+            continue;
+        }
+        const std::uint32_t capacity = it.second->ledger.target().capacity.milliCores;
+        ++load.targets;
+        load.totalMilliCores += capacity;
+        load.freeMilliCores += it.second->ledger.room().milliCores;
+        load.largestMilliCores = std::max(load.largestMilliCores, capacity);
+    }
+    constexpr double kMicrosPerMilli = 1000;
+    const QueuedWork queued = m_board.queued(UINT32_MAX);
+    load.queuedCoreMillis = static_cast<std::uint64_t>(queued.milliCoreMicros / kMicrosPerMilli / 1000);
+    return load;
+}
+
+Dispatcher::Dispatcher(const DispatcherPolicy &policy, TargetOrders &orders, DispatcherObserver &observer)
+    : m_impl(std::make_unique<Impl>(policy, orders, observer))
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::targetOwned(const DispatchTarget &target, FencingToken token, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->targetOwned(target, token, now);
+}
+
+void Dispatcher::targetReleased(const TargetName &target, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->targetReleased(target, now);
+}
+
+std::vector<TargetName> Dispatcher::targets() const
+{
+    std::vector<TargetName> names;
+    for (const auto &it : m_impl->m_targets) {
+        names.push_back(it.first);
+    }
+    return names;
+}
+
+void Dispatcher::resume()
+{
+    m_impl->m_draining = false;
+}
+
+void Dispatcher::submit(const JobOrigin &origin, JobRequest request, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->submit(origin, std::move(request), now);
+}
+
+void Dispatcher::cancel(const JobOrigin &origin, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->cancel(origin, now);
+}
+
+void Dispatcher::homeHeard(const InstanceName &home, Instant now)
+{
+    m_impl->homeHeard(home, now);
+}
+
+void Dispatcher::homeLost(const InstanceName &home, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->homeLost(home, now);
+}
+
+void Dispatcher::drain(Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->drain(now);
+}
+
+bool Dispatcher::isDrained() const
+{
+    return m_impl->m_board.jobs().empty()
+        && std::all_of(m_impl->m_targets.begin(), m_impl->m_targets.end(), [](const auto &it) {
+               return it.second->ledger.runs().empty();
+           });
+}
+
+void Dispatcher::startAnswered(const TargetName &target, const RunName &run, const OrderResult &result, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->startAnswered(target, run, result, now);
+}
+
+void Dispatcher::stopAnswered(const TargetName &target, const RunName &run, const OrderResult &result, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->stopAnswered(target, run, result, now);
+}
+
+void Dispatcher::inspected(const TargetName &target,
+                           const TargetReport &report,
+                           const OrderResult &result,
+                           Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->inspected(target, report, result, now);
+}
+
+void Dispatcher::inspectionFailed(const TargetName &target, const OrderResult &result, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->inspectionFailed(target, result, now);
+}
+
+void Dispatcher::advance(Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->advance(now);
+}
+
+DispatcherLoad Dispatcher::load() const
+{
+    return m_impl->load(m_impl->m_lastNow);
+}
+
+std::uint32_t Dispatcher::pendingJobs(const RouteName &route) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_impl->m_board.jobs().begin(), m_impl->m_board.jobs().end(), [&route](const auto &it) {
+            return it.second->request.route == route && it.second->mayHaveRun == 0;
+        }));
+}
+
+std::size_t Dispatcher::jobCount() const
+{
+    return m_impl->m_board.jobs().size();
+}
+
+} // namespace Eelgrasscleat
--- /dev/null
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -0,0 +1,97 @@
+/// @file
+/// State of a dispatcher. Jobs and admission stand in Dispatcher.cpp, runs and targets in DispatcherRuns.cpp.
+#pragma once
+
+#include "JobBoard.h"
+#include "TargetChooser.h"
+
+#include <deque>
+
+namespace Eelgrasscleat
+{
+
+class Dispatcher::Impl
+{
+public:
+    Impl(const DispatcherPolicy &policy, TargetOrders &orders, DispatcherObserver &observer)
+        : m_policy(policy)
+        , m_orders(orders)
+        , m_observer(observer)
+        , m_chooser(m_targets, m_health)
+    {
+    }
+
+    // Jobs.
+    void submit(const JobOrigin &origin, JobRequest request, Instant now);
+    void cancel(const JobOrigin &origin, Instant now);
+    void homeHeard(const InstanceName &home, Instant now);
+    void homeLost(const InstanceName &home, Instant now);
+    void drain(Instant now);
+    void advance(Instant now);
+
+    // Targets and runs.
+    void targetOwned(const DispatchTarget &target, FencingToken token, Instant now);
+    void targetReleased(const TargetName &target, Instant now);
+    void startAnswered(const TargetName &name, const RunName &run, const OrderResult &result, Instant now);
+    void stopAnswered(const TargetName &name, const RunName &run, const OrderResult &result, Instant now);
+    void inspected(const TargetName &name, const TargetReport &report, const OrderResult &result, Instant now);
+    void inspectionFailed(const TargetName &name, const OrderResult &result, Instant now);
+
+    [[nodiscard]] DispatcherLoad load(Instant now) const;
+
+    OwnedTargets m_targets;
+    JobBoard m_board;
+    Instant m_lastNow {};
+    bool m_draining = false;
+
+private:
+    /// A run that was at work when its job ended, until it is proved gone.
+    struct RecentRuns
+    {
+        std::uint32_t dying = 0; ///< Runs of ended submissions that may be at work.
+        std::uint32_t lastRun = 0; ///< Highest run number used.
+        Instant lastUse {};
+    };
+
+    // Jobs.
+    void refuse(const JobOrigin &origin, const JobId &id, JobEndReason reason, Duration retryAfter);
+    void endJob(BoardJob &job, JobOutcome outcome, JobEndReason reason, Instant now);
+    void giveUp(BoardJob &job, JobOutcome outcome, JobEndReason reason, Instant now);
+    [[nodiscard]] Duration expectedWait(const JobRequest &request, Instant now);
+    [[nodiscard]] double serviceRate(Instant now) const;
+    void placeWaiting(Instant now);
+    bool placeTasks(BoardJob &job, Instant now);
+    void expireJobs(Instant now);
+    [[nodiscard]] Instant heardAt(const InstanceName &home) const;
+
+    // Runs.
+    void startRun(OwnedTarget &target, BoardJob &job, const TaskName &task, Instant now);
+    void stopRun(OwnedTarget &target, const RunName &name, LedgerRun &run, Instant now);
+    void runGone(OwnedTarget &target, const RunName &name, const LedgerRun &run, bool hadNoEffect, Instant now);
+    void runEnded(OwnedTarget &target, const ReportFindings::End &end, Instant now);
+    void runDone(OwnedTarget &target, BoardJob &job, const ReportFindings::End &end, Instant now);
+    void runFailed(BoardJob &job, const TaskName &task, Instant now);
+    void requeue(const TargetName &target, const RunName &name, const LedgerRun &run);
+    void forgetDying(const JobId &id);
+    void learnHealth(OwnedTarget &target, PlacementOutcome outcome, Instant now);
+    void loseRuns(OwnedTarget &target, Instant now);
+    void fenceTarget(OwnedTarget &target, Instant now);
+    void advanceTarget(OwnedTarget &target, Instant now);
+    void inspect(OwnedTarget &target, Instant now);
+    void checkProgress(OwnedTarget &target, Instant now);
+    void applyFindings(OwnedTarget &target, const ReportFindings &findings, Instant now);
+    [[nodiscard]] Instant quietestHome(const OwnedTarget &target, Instant now) const;
+    [[nodiscard]] OwnedTarget *find(const TargetName &name);
+
+    DispatcherPolicy m_policy;
+    TargetOrders &m_orders;
+    DispatcherObserver &m_observer;
+    HealthTracker m_health;
+    TargetChooser m_chooser;
+    std::map<InstanceName, Instant> m_homes; ///< When each was last heard from.
+    std::map<JobId, RecentRuns> m_recent;
+    std::vector<TargetIndex> m_freeIndexes;
+    TargetIndex m_nextIndex = 0;
+};
+
+} // namespace Eelgrasscleat
--- /dev/null
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -0,0 +1,523 @@
+/// @file
+/// Starts, stops and inspections of targets, and what their answers mean for tasks.
+#include "DispatcherImpl.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Eelgrasscleat
+{
+
+namespace
+{
+
+/// Pause before an inspection is repeated, doubled at each failure up to the longest.
+constexpr Duration kInspectRetry = std::chrono::milliseconds(50);
+constexpr Duration kLongestInspectRetry = std::chrono::milliseconds(800);
+/// Pause before ends are acknowledged that no run's inspection carries along.
+constexpr Duration kAcknowledgeDelay = std::chrono::milliseconds(200);
+/// Pause before an unanswered stop order is sent again.
+constexpr Duration kStopRetry = std::chrono::milliseconds(100);
+/// Pause of a target that rejected a start without doing anything.
+constexpr Duration kRejectPause = std::chrono::milliseconds(300);
+/// A run that is behind its expected time by this factor is looked at for a standstill.
+constexpr double kOverdueFactor = 2.0;
+/// Shortest time without progress that counts as a standstill: progress of long tasks is told in whole percents.
+constexpr Duration kStandstill = std::chrono::milliseconds(250);
+/// Run numbers skipped when a target turned one down: the earlier submission's runs had few.
+constexpr std::uint32_t kRunNumberSkip = 4;
+
+PlacementOutcome outcomeOf(RunEndKind kind)
+{
+    return kind == RunEndKind::Done ? PlacementOutcome::Done : PlacementOutcome::Failed;
+}
+
+} // namespace
+
+OwnedTarget *Dispatcher::Impl::find(const TargetName &name)
+{
+    const auto it = m_targets.find(name);
+    return it == m_targets.end() ? nullptr : it->second.get();
+}
+
+void Dispatcher::Impl::targetOwned(const DispatchTarget &target, FencingToken token, Instant now)
+{
+    if (OwnedTarget *owned = find(target.name)) {
+        const bool wasDraining = owned->ledger.target().draining;
+        if (owned->ledger.update(target)) {
+            loseRuns(*owned, now);
+        }
+        if (target.draining != wasDraining) {
+            m_observer.targetChanged(target.draining ? "draining" : "ready", target.name, target.incarnation);
+        }
+        owned->ledger.renewToken(token);
+        return;
+    }
+    TargetIndex index = m_nextIndex;
+    if (m_freeIndexes.empty()) {
+        ++m_nextIndex;
+    } else {
+        index = m_freeIndexes.back();
+        m_freeIndexes.pop_back();
+    }
+    m_targets.emplace(target.name, std::make_unique<OwnedTarget>(target, token, index));
+    TargetInfo info;
+    info.name = target.name;
+    info.service = target.service;
+    info.zone = target.zone;
+    info.rack = target.rack;
+    m_health.add(index, info);
+    m_observer.targetChanged("owned", target.name, token.value);
+    inspect(*find(target.name), now);
+}
+
+void Dispatcher::Impl::targetReleased(const TargetName &target, Instant now)
+{
+    OwnedTarget *owned = find(target);
+    if (owned == nullptr) {
+        return;
+    }
+    loseRuns(*owned, now);
+    m_observer.targetChanged("released", target, owned->ledger.token().value);
+    m_health.forget(owned->healthIndex);
+    m_freeIndexes.push_back(owned->healthIndex);
+    m_targets.erase(target);
+}
+
+/// Nothing that ran on the target can be followed any more. Its runs may go on until their lease ends, so their jobs
+/// are given up instead of started elsewhere: the caller submits again only after that.
+void Dispatcher::Impl::loseRuns(OwnedTarget &target, Instant now)
+{
+    auto runs = std::move(target.ledger.runs());
+    target.ledger.runs().clear();
+    for (const auto &it : runs) {
+        if (m_board.find(it.second.job) == nullptr) {
+            forgetDying(it.first.task.job);
+        }
+    }
+    for (const auto &it : runs) {
+        if (BoardJob *job = m_board.find(it.second.job)) {
+            giveUp(*job, JobOutcome::Abandoned, JobEndReason::TargetsLost, now);
+        }
+    }
+}
+
+void Dispatcher::Impl::fenceTarget(OwnedTarget &target, Instant now)
+{
+    if (target.ledger.fenced) {
+        return;
+    }
+    target.ledger.fenced = true;
+    m_observer.targetChanged("fenced", target.ledger.target().name, target.ledger.token().value);
+    loseRuns(target, now);
+}
+
+Instant Dispatcher::Impl::quietestHome(const OwnedTarget &target, Instant now) const
+{
+    Instant quietest = now;
+    for (const auto &it : target.ledger.runs()) {
+        if (!it.second.home.isEmpty() && it.second.state != RunState::Stopping) {
+            quietest = std::min(quietest, heardAt(it.second.home));
+        }
+    }
+    return quietest;
+}
+
+void Dispatcher::Impl::startRun(OwnedTarget &target, BoardJob &job, const TaskName &task, Instant now)
+{
+    const JobStep &step = job.request.steps[task.step];
+    BoardTask &entry = job.steps[task.step][task.index];
+    RecentRuns &recent = m_recent[job.request.id];
+    entry.run = std::max(entry.run + 1, recent.lastRun + (entry.run == 0 ? 1 : 0));
+    recent.lastUse = now;
+    LedgerRun run;
+    run.job = job.number;
+    run.demand = step.demand;
+    run.home = job.origin.home;
+    run.orderedAt = now;
+    run.hint = step.estimate;
+    SizeModel &sizes = m_board.sizes(job.request.route);
+    run.logSize = sizes.expectedLogRun(step.estimate);
+    run.sizeVariance = sizes.noiseVariance(step.estimate);
+    const RunName name { task, entry.run };
+    target.ledger.addRun(name, run);
+    m_board.setState(job, task, TaskState::Ordered);
+    ++job.mayHaveRun;
+    if (m_health.state(target.healthIndex) == HealthState::Ejected) {
+        m_health.probeStarted(target.healthIndex);
+    }
+    StartOrder order;
+    order.target = target.ledger.orderTarget();
+    order.token = target.ledger.token();
+    order.run = name;
+    order.payload = &job.request.payload;
+    order.leaseEnd = target.ledger.grantLease(m_policy.leaseLength, quietestHome(target, now), now);
+    m_observer.runDecided("start", name, order.target.name, std::exp(target.ledger.speed.logSlowness()));
+    m_orders.start(order);
+    if (!target.ledger.inspecting) {
+        inspect(target, now);
+    }
+}
+
+void Dispatcher::Impl::stopRun(OwnedTarget &target, const RunName &name, LedgerRun &run, Instant now)
+{
+    run.state = RunState::Stopping;
+    if (run.stopInFlight) {
+        return;
+    }
+    run.stopInFlight = true;
+    run.nextStopAt = now + kStopRetry;
+    m_observer.runDecided("stop", name, target.ledger.target().name, run.progress);
+    m_orders.stop({ target.ledger.orderTarget(), target.ledger.token(), name });
+}
+
+void Dispatcher::Impl::forgetDying(const JobId &id)
+{
+    const auto it = m_recent.find(id);
+    if (it != m_recent.end() && it->second.dying > 0) {
+        --it->second.dying;
+    }
+}
+
+void Dispatcher::Impl::requeue(const TargetName &target, const RunName &name, const LedgerRun &run)
+{
+    BoardJob *job = m_board.find(run.job);
+    if (job == nullptr) {
+        return;
+    }
+    BoardTask &entry = job->steps[name.task.step][name.task.index];
+    if (entry.state == TaskState::Ordered && entry.run == name.run) {
+        entry.lastTarget = target;
+        m_board.setState(*job, name.task, TaskState::Ready);
+    }
+}
+
+/// A run is proved not to be at work. Its task may be started again.
+void Dispatcher::Impl::runGone(OwnedTarget &target,
+                               const RunName &name,
+                               const LedgerRun &run,
+                               bool hadNoEffect,
+                               Instant now)
+{
+    RecentRuns &recent = m_recent[name.task.job];
+    recent.lastRun = std::max(recent.lastRun, name.run);
+    recent.lastUse = now;
+    BoardJob *job = m_board.find(run.job);
+    if (job == nullptr) {
+        forgetDying(name.task.job);
+        return;
+    }
+    if (hadNoEffect && job->mayHaveRun > 0) {
+        --job->mayHaveRun;
+    }
+    requeue(target.ledger.target().name, name, run);
+}
+
+void Dispatcher::Impl::learnHealth(OwnedTarget &target, PlacementOutcome outcome, Instant now)
+{
+    const bool probe = m_health.state(target.healthIndex) == HealthState::Probing;
+    const HealthState before = m_health.state(target.healthIndex);
+    m_health.ended(target.healthIndex, outcome, probe, now);
+    const HealthState after = m_health.state(target.healthIndex);
+    if (before != after) {
+        m_observer.targetChanged(after == HealthState::Serving ? "restored" : "ejected", target.ledger.target().name, 0);
+    }
+}
+
+void Dispatcher::Impl::startAnswered(const TargetName &name,
+                                     const RunName &runName,
+                                     const OrderResult &result,
+                                     Instant now)
+{
+    OwnedTarget *target = find(name);
+    if (target == nullptr) {
+        return;
+    }
+    if (result.hasClock) {
+        target->ledger.sampleClock(result.clock, now);
+    }
+    LedgerRun *run = target->ledger.findRun(runName);
+    if (run == nullptr) {
+        return; // Its end was reported before the start was answered.
+    }
+    if (result.answer == OrderAnswer::Accepted) {
+        if (run->state == RunState::Starting) {
+            run->state = RunState::Running;
+            run->startedAt = now;
+            run->progressedAt = now;
+        }
+        return;
+    }
+    m_observer.runDecided(orderAnswerName(result.answer), runName, name, 0);
+    if (result.answer == OrderAnswer::Unanswered) {
+        target->ledger.pausedUntil = std::max(target->ledger.pausedUntil, now + kRejectPause);
+        stopRun(*target, runName, *run, now);
+        return;
+    }
+    const LedgerRun gone = *run;
+    target->ledger.removeRun(runName);
+    runGone(*target, runName, gone, true, now);
+    switch (result.answer) {
+    case OrderAnswer::Fenced:
+        fenceTarget(*target, now);
+        break;
+    case OrderAnswer::OldRun:
+        m_recent[runName.task.job].lastRun += kRunNumberSkip;
+        if (BoardJob *job = m_board.find(gone.job)) {
+            job->steps[runName.task.step][runName.task.index].run += kRunNumberSkip;
+        }
+        break;
+    case OrderAnswer::NotSent:
+    case OrderAnswer::Rejected:
+    case OrderAnswer::NoRoom:
+        target->ledger.pausedUntil = now + kRejectPause;
+        learnHealth(*target, PlacementOutcome::Refused, now);
+        break;
+    case OrderAnswer::OtherIncarnation:
+        target->ledger.inspected = false;
+        break;
+    default:
+        break;
+    }
+    placeWaiting(now);
+}
+
+void Dispatcher::Impl::stopAnswered(const TargetName &name,
+                                    const RunName &runName,
+                                    const OrderResult &result,
+                                    Instant now)
+{
+    OwnedTarget *target = find(name);
+    if (target == nullptr) {
+        return;
+    }
+    if (result.hasClock) {
+        target->ledger.sampleClock(result.clock, now);
+    }
+    LedgerRun *run = target->ledger.findRun(runName);
+    if (run == nullptr) {
+        return;
+    }
+    run->stopInFlight = false;
+    if (result.answer == OrderAnswer::Accepted) {
+        run->stopAnsweredAt = now;
+        if (!target->ledger.inspecting) {
+            inspect(*target, now);
+        }
+    } else if (result.answer == OrderAnswer::Fenced) {
+        fenceTarget(*target, now);
+    }
+}
+
+void Dispatcher::Impl::inspect(OwnedTarget &target, Instant now)
+{
+    TargetLedger &ledger = target.ledger;
+    InspectOrder order;
+    order.target = ledger.orderTarget();
+    order.token = ledger.token();
+    order.acknowledged = ledger.lastEnd();
+    const bool isBusy = !ledger.runs().empty();
+    if (isBusy && ledger.hasClock() && ledger.inspected) {
+        order.renew = true;
+        order.leaseEnd = ledger.grantLease(m_policy.leaseLength, quietestHome(target, now), now);
+        const bool stopping = std::any_of(ledger.runs().begin(), ledger.runs().end(), [](const auto &it) {
+            return it.second.state == RunState::Stopping;
+        });
+        order.wait = stopping ? m_policy.inspectWait / 10 : m_policy.inspectWait;
+    }
+    ledger.inspecting = true;
+    ledger.inspectSentAt = now;
+    m_orders.inspect(order);
+}
+
+void Dispatcher::Impl::inspected(const TargetName &name,
+                                 const TargetReport &report,
+                                 const OrderResult &result,
+                                 Instant now)
+{
+    OwnedTarget *target = find(name);
+    if (target == nullptr) {
+        return;
+    }
+    TargetLedger &ledger = target->ledger;
+    ledger.inspecting = false;
+    ledger.failures = 0;
+    if (!ledger.reachable) {
+        m_observer.targetChanged("reachable", name, 0);
+    }
+    ledger.reachable = true;
+    const std::uint64_t acknowledged = ledger.lastEnd();
+    const ReportFindings findings = ledger.reconcile(report, ledger.inspectSentAt, now);
+    if (result.hasClock) {
+        ledger.sampleClock(result.clock, now);
+    }
+    ledger.acknowledged = findings.restarted ? 0 : acknowledged;
+    ledger.inspected = true;
+    applyFindings(*target, findings, now);
+    checkProgress(*target, now);
+    placeWaiting(now);
+    if (ledger.inspecting) {
+        return; // A start from here has sent the next one.
+    }
+    if (!ledger.runs().empty()) {
+        inspect(*target, now);
+    } else if (ledger.lastEnd() > ledger.acknowledged) {
+        ledger.nextInspectAt = now + kAcknowledgeDelay;
+    } else {
+        ledger.nextInspectAt = now + m_policy.idleInspectInterval;
+    }
+}
+
+void Dispatcher::Impl::applyFindings(OwnedTarget &target, const ReportFindings &findings, Instant now)
+{
+    const TargetName &name = target.ledger.target().name;
+    if (findings.restarted) {
+        m_observer.targetChanged("restarted", name, 0);
+    }
+    for (const auto &it : findings.ended) {
+        runEnded(target, it, now);
+    }
+    for (const auto &it : findings.vanished) {
+        m_observer.runDecided("vanished", it.first, name, it.second.progress);
+        runGone(target, it.first, it.second, false, now);
+    }
+    for (const RunName &it : findings.unknown) {
+        if (LedgerRun *run = target.ledger.findRun(it)) {
+            m_observer.runDecided("unknown", it, name, 0);
+            ++m_recent[it.task.job].dying;
+            stopRun(target, it, *run, now);
+        }
+    }
+}
+
+void Dispatcher::Impl::runEnded(OwnedTarget &target, const ReportFindings::End &end, Instant now)
+{
+    const TargetName &name = target.ledger.target().name;
+    m_observer.runDecided(runEndKindName(end.kind),
+                          end.run,
+                          name,
+                          std::chrono::duration<double, std::milli>(now - end.record.orderedAt).count());
+    BoardJob *job = m_board.find(end.record.job);
+    const bool isCurrent = job != nullptr && job->steps[end.run.task.step][end.run.task.index].run == end.run.run
+        && job->steps[end.run.task.step][end.run.task.index].state == TaskState::Ordered;
+    if (end.kind == RunEndKind::Done || end.kind == RunEndKind::Failed) {
+        learnHealth(target, outcomeOf(end.kind), now);
+    }
+    if (!isCurrent) {
+        runGone(target, end.run, end.record, false, now);
+        return;
+    }
+    if (end.kind == RunEndKind::Done) {
+        runDone(target, *job, end, now);
+        return;
+    }
+    runGone(target, end.run, end.record, false, now);
+    if (end.kind == RunEndKind::Failed) {
+        runFailed(*job, end.run.task, now);
+    }
+}
+
+void Dispatcher::Impl::runDone(OwnedTarget &target, BoardJob &job, const ReportFindings::End &end, Instant now)
+{
+    const Instant began = end.record.startedAt == Instant {} ? end.record.orderedAt : end.record.startedAt;
+    const double micros = std::max<double>(1, static_cast<double>((now - began).count()));
+    const double logRun = std::log(micros);
+    target.ledger.speed.learn(logRun - end.record.logSize, end.record.sizeVariance);
+    m_board.sizes(job.request.route).learn(end.record.hint, logRun - target.ledger.speed.logSlowness());
+    m_board.setState(job, end.run.task, TaskState::Done);
+    RecentRuns &recent = m_recent[job.request.id];
+    recent.lastRun = std::max(recent.lastRun, end.run.run);
+    recent.lastUse = now;
+    if (job.tasksLeft == 0) {
+        endJob(job, JobOutcome::Complete, JobEndReason::None, now);
+        return;
+    }
+    m_board.unblock(job);
+}
+
+void Dispatcher::Impl::runFailed(BoardJob &job, const TaskName &task, Instant now)
+{
+    BoardTask &entry = job.steps[task.step][task.index];
+    ++entry.failures;
+    if (entry.failures >= job.request.attempts) {
+        giveUp(job, JobOutcome::Failed, JobEndReason::AttemptsUsedUp, now);
+    }
+}
+
+/// Finds runs that stand still and starts their tasks elsewhere. A run that is merely longer than expected moves on, and
+/// is left alone: it would take as long on another target.
+void Dispatcher::Impl::checkProgress(OwnedTarget &target, Instant now)
+{
+    const double slowness = std::exp(target.ledger.speed.logSlowness());
+    for (auto &it : target.ledger.runs()) {
+        LedgerRun &run = it.second;
+        if (run.state != RunState::Running) {
+            continue;
+        }
+        const double expected = std::exp(run.logSize) * slowness;
+        const bool overdue = static_cast<double>((now - run.startedAt).count()) > kOverdueFactor * expected;
+        const bool stands = now - run.progressedAt > kStandstill;
+        if (overdue && stands) {
+            learnHealth(target, PlacementOutcome::Failed, now);
+            stopRun(target, it.first, run, now);
+        }
+    }
+}
+
+void Dispatcher::Impl::inspectionFailed(const TargetName &name, const OrderResult &result, Instant now)
+{
+    OwnedTarget *target = find(name);
+    if (target == nullptr) {
+        return;
+    }
+    TargetLedger &ledger = target->ledger;
+    ledger.inspecting = false;
+    ++ledger.failures;
+    const auto pause = std::min(kLongestInspectRetry, kInspectRetry * (1U << std::min(ledger.failures - 1, 4U)));
+    ledger.nextInspectAt = now + pause;
+    if (result.answer == OrderAnswer::Fenced) {
+        fenceTarget(*target, now);
+        return;
+    }
+    if (result.answer == OrderAnswer::OtherIncarnation) {
+        loseRuns(*target, now);
+        ledger.inspected = false;
+        return;
+    }
+    if (ledger.reachable) {
+        m_observer.targetChanged("unreachable", name, ledger.failures);
+    }
+    ledger.reachable = false;
+}
+
+void Dispatcher::Impl::advanceTarget(OwnedTarget &target, Instant now)
+{
+    TargetLedger &ledger = target.ledger;
+    if (ledger.fenced) {
+        return;
+    }
+    for (auto &it : ledger.runs()) {
+        LedgerRun &run = it.second;
+        if (run.state == RunState::Stopping && !run.stopInFlight && run.stopAnsweredAt == Instant {}
+            && now >= run.nextStopAt) {
+            stopRun(target, it.first, run, now);
+        }
+    }
+    if (!ledger.reachable && ledger.isLeaseOver(now) && !ledger.runs().empty()) {
+        // Whatever ran there has ended with its lease; what is still listed on return is stopped as unknown.
+        auto runs = std::move(ledger.runs());
+        ledger.runs().clear();
+        for (const auto &it : runs) {
+            m_observer.runDecided("lease_over", it.first, ledger.target().name, it.second.progress);
+            runGone(target, it.first, it.second, false, now);
+        }
+        ledger.inspected = false;
+    }
+    const bool wantsInspection = !ledger.inspected || !ledger.runs().empty() || !ledger.reachable
+        || ledger.lastEnd() > ledger.acknowledged || now >= ledger.nextInspectAt;
+    if (!ledger.inspecting && wantsInspection && now >= ledger.nextInspectAt) {
+        inspect(target, now);
+    }
+}
+
+} // namespace Eelgrasscleat
--- /dev/null
+++ b/lib/Dispatch/FleetView.cpp
@@ -0,0 +1,96 @@
+/// @file
+/// Versions of the configuration, and the list of targets.
+#include <eelgrasscleat/Dispatch/FleetView.h>
+
+#include <algorithm>
+
+namespace Eelgrasscleat
+{
+
+bool ConfigurationView::apply(FleetConfiguration configuration)
+{
+    if (configuration.version <= m_current.version) {
+        return false;
+    }
+    m_current = std::move(configuration);
+    m_byHost.clear();
+    for (std::size_t i = 0; i < m_current.routes.size(); ++i) {
+        m_byHost[m_current.routes[i].host].push_back(i);
+    }
+    for (auto &it : m_byHost) {
+        std::stable_sort(it.second.begin(), it.second.end(), [this](std::size_t a, std::size_t b) {
+            return m_current.routes[a].pathPrefix.size() > m_current.routes[b].pathPrefix.size();
+        });
+    }
+    return true;
+}
+
+const FleetRoute *ConfigurationView::match(std::string_view host, std::string_view path) const
+{
+    const auto it = m_byHost.find(host);
+    if (it == m_byHost.end()) {
+        return nullptr;
+    }
+    for (const std::size_t i : it->second) {
+        const FleetRoute &route = m_current.routes[i];
+        if (path.substr(0, route.pathPrefix.size()) == route.pathPrefix) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+bool TargetList::set(const DispatchTarget &target)
+{
+    m_vanished.erase(target.name);
+    DispatchTarget &entry = m_targets[target.name];
+    if (entry == target) {
+        return false;
+    }
+    entry = target;
+    return true;
+}
+
+void TargetList::vanished(const TargetName &name, Instant now)
+{
+    if (m_targets.find(name) != m_targets.end()) {
+        m_vanished.emplace(name, now);
+    }
+}
+
+void TargetList::replace(const std::vector<DispatchTarget> &targets, Instant now)
+{
+    for (const auto &it : m_targets) {
+        const bool listed = std::any_of(
+            targets.begin(), targets.end(), [&it](const DispatchTarget &target) { return target.name == it.first; });
+        if (!listed) {
+            m_vanished.emplace(it.first, now);
+        }
+    }
+    for (const DispatchTarget &it : targets) {
+        set(it);
+    }
+}
+
+std::vector<TargetName> TargetList::advance(Instant now)
+{
+    std::vector<TargetName> dropped;
+    for (const auto &it : m_vanished) {
+        if (now - it.second >= m_lapseGrace) {
+            dropped.push_back(it.first);
+        }
+    }
+    for (const TargetName &it : dropped) {
+        m_vanished.erase(it);
+        m_targets.erase(it);
+    }
+    return dropped;
+}
+
+void TargetList::clear()
+{
+    m_targets.clear();
+    m_vanished.clear();
+}
+
+} // namespace Eelgrasscleat
--- /dev/null
+++ b/lib/Dispatch/JobTypes.cpp
@@ -0,0 +1,73 @@
+/// @file
+/// Names of outcomes, reasons and answers as they stand in logs and metrics.
+#include <eelgrasscleat/Dispatch/JobTypes.h>
+#include <eelgrasscleat/Dispatch/TargetOrders.h>
+
+#include <array>
+#include <cassert>
+
+namespace Eelgrasscleat
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 6> kJobOutcomeNames = {
+    "complete", "failed", "refused", "abandoned", "expired", "canceled",
+};
+
+constexpr std::array<std::string_view, 16> kJobEndReasonNames = {
+    "none",
+    "no_configuration",
+    "unknown_route",
+    "unsupported",
+    "malformed",
+    "no_dispatcher",
+    "no_fitting_target",
+    "too_late",
+    "queue_full",
+    "stopping",
+    "dispatcher_lost",
+    "deadline_passed",
+    "attempts_used_up",
+    "caller_gone",
+    "superseded",
+    "targets_lost",
+};
+
+constexpr std::array<std::string_view, 5> kRunEndKindNames = { "done", "failed", "stopped", "lapsed", "other" };
+
+constexpr std::array<std::string_view, 9> kOrderAnswerNames = {
+    "accepted", "fenced", "old_run", "lease_over", "no_room", "rejected", "other_incarnation", "unanswered", "not_sent",
+};
+
+template <std::size_t N>
+std::string_view nameAt(const std::array<std::string_view, N> &names, std::size_t index)
+{
+    assert(index < N && "every value has a name");
+    return names[index];
+}
+
+} // namespace
+
+std::string_view jobOutcomeName(JobOutcome outcome)
+{
+    return nameAt(kJobOutcomeNames, static_cast<std::size_t>(outcome));
+}
+
+std::string_view jobEndReasonName(JobEndReason reason)
+{
+    return nameAt(kJobEndReasonNames, static_cast<std::size_t>(reason));
+}
+
+std::string_view runEndKindName(RunEndKind kind)
+{
+    return nameAt(kRunEndKindNames, static_cast<std::size_t>(kind));
+}
+
+std::string_view orderAnswerName(OrderAnswer answer)
+{
+    return nameAt(kOrderAnswerNames, static_cast<std::size_t>(answer));
+}
+
+} // namespace Eelgrasscleat
--- /dev/null
+++ b/lib/Dispatch/TargetLedger.h
@@ -0,0 +1,149 @@
+/// @file
+/// What the owner of one target knows of it: runs that may be at work, room, lease and clock. The load that it answers
+/// is orders that get lost, are carried out late, or cross with reports; room counts as taken until the end is proved.
+#pragma once
+
+#include <eelgrasscleat/Dispatch/TargetOrders.h>
+#include <eelgrasscleat/Placement/SpeedModel.h>
+
+#include <map>
+#include <vector>
+
+namespace Eelgrasscleat
+{
+
+/// A job within one dispatcher.
+using JobNumber = Number<struct JobNumberTag>;
+
+/// Where a run stands.
+enum class RunState
+{
+    Starting, ///< The start order has no answer yet.
+    Running,
+    Stopping, ///< It may be at work until the target shows that it isn't.
+};
+
+/// A run that may be at work.
+struct LedgerRun
+{
+    JobNumber job; ///< None: started by an earlier owner.
+    ResourceDemand demand;
+    InstanceName home; ///< Instance that holds the caller's connection.
+    RunState state = RunState::Starting;
+    Instant orderedAt {};
+    Instant startedAt {};
+    Instant stopAnsweredAt {}; ///< Epoch: no stop order has been answered.
+    Instant nextStopAt {}; ///< When the stop order is sent again.
+    bool stopInFlight = false;
+    double logSize = 0; ///< Expected logarithm of the run time in microseconds on the reference target.
+    double sizeVariance = 0;
+    Duration hint {}; ///< The caller's estimate.
+    double progress = 0; ///< Percent.
+    Instant progressedAt {}; ///< When the progress last rose.
+};
+
+/// Ends and losses that a report revealed.
+struct ReportFindings
+{
+    struct End
+    {
+        RunName run;
+        LedgerRun record;
+        RunEndKind kind;
+    };
+    std::vector<End> ended;
+    std::vector<std::pair<RunName, LedgerRun>> vanished; ///< Neither at work nor listed as ended.
+    std::vector<RunName> unknown; ///< At work, but not ordered by this owner; now in the ledger as stopping.
+    bool restarted = false; ///< The target is another incarnation; nothing of before is at work.
+};
+
+/// The ledger of one target.
+class TargetLedger
+{
+public:
+    explicit TargetLedger(DispatchTarget target, FencingToken token);
+
+    /// Takes in a newer description. @returns whether the target started again, so that its runs are gone.
+    bool update(const DispatchTarget &target);
+    /// Owner's token rose: the target has to be inspected under it before it gets work.
+    void renewToken(FencingToken token);
+
+    /// Records a run whose start order is being sent.
+    LedgerRun &addRun(const RunName &name, LedgerRun run);
+    [[nodiscard]] LedgerRun *findRun(const RunName &name);
+    /// The run is proved not to be at work.
+    void removeRun(const RunName &name);
+
+    /// Takes in a report.
+    /// @param sentAt when the inspection was sent: only what was known then can be missing from the report
+    ReportFindings reconcile(const TargetReport &report, Instant sentAt, Instant now);
+
+    /// Takes in the target's clock from an answer that has just arrived.
+    void sampleClock(TargetTime clock, Instant now);
+    /// Lease end to order so that no run outlives its home by more than the lease.
+    /// @param heardAt when the quietest home of all runs was last heard from
+    /// @returns the end on the target's clock, never one that shortens an earlier one.
+    TargetTime grantLease(Duration leaseLength, Instant heardAt, Instant now);
+    /// @returns whether all leases that were ever ordered have run out.
+    [[nodiscard]] bool isLeaseOver(Instant now) const;
+
+    /// @returns the capacity that no run may be using; nothing while a run of unknown size is at work.
+    [[nodiscard]] ResourceDemand room() const;
+    [[nodiscard]] const DispatchTarget &target() const
+    {
+        return m_target;
+    }
+    [[nodiscard]] OrderTarget orderTarget() const
+    {
+        return { m_target.name, m_target.address };
+    }
+    [[nodiscard]] FencingToken token() const
+    {
+        return m_token;
+    }
+    [[nodiscard]] const std::map<RunName, LedgerRun> &runs() const
+    {
+        return m_runs;
+    }
+    [[nodiscard]] std::map<RunName, LedgerRun> &runs()
+    {
+        return m_runs;
+    }
+    [[nodiscard]] std::uint64_t lastEnd() const
+    {
+        return m_lastEnd;
+    }
+    [[nodiscard]] bool hasClock() const
+    {
+        return m_hasClock;
+    }
+
+    /// Bookkeeping of the dispatcher.
+    bool inspected = false; ///< Reported under the present token.
+    bool reachable = true; ///< The last order was answered.
+    bool fenced = false; ///< Another owner has a higher token.
+    bool inspecting = false; ///< An inspection is in flight.
+    Instant inspectSentAt {};
+    Instant nextInspectAt {};
+    std::uint32_t failures = 0; ///< Inspections that failed in a row.
+    std::uint64_t acknowledged = 0; ///< Highest end that an answered inspection has acknowledged.
+    Instant pausedUntil {}; ///< Gets no start before.
+    SpeedEstimate speed;
+
+private:
+    void restart(ReportFindings &findings);
+    [[nodiscard]] TargetTime clockAt(Instant now) const;
+
+    DispatchTarget m_target;
+    FencingToken m_token;
+    std::map<RunName, LedgerRun> m_runs;
+    std::uint64_t m_lastEnd = 0;
+    std::uint64_t m_incarnation = 0;
+    bool m_hasClock = false;
+    TargetTime m_clock { 0 };
+    Instant m_clockAt {};
+    TargetTime m_leaseEnd { 0 };
+    Instant m_leaseOverAt {};
+};
+
+} // namespace Eelgrasscleat
--- /dev/null
+++ b/lib/Node/NodeImpl.h
@@ -0,0 +1,123 @@
+/// @file
+/// Joins the decision parts of one instance. A decision of one part reaches another only after the first has returned:
+/// what parts say to each other within the instance goes through queues that settle() empties.
+#pragma once
+
+#include "DecisionLog.h"
+#include "PeerLink.h"
+
+#include <eelgrasscleat/Node/DispatchNode.h>
+
+#include <QTimer>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace Eelgrasscleat
+{
+
+class DispatchNode::Impl : public CallerEvents,
+                           public StoreEvents,
+                           public OrderEvents,
+                           public PeerEvents,
+                           public JobHomeObserver,
+                           public DispatcherObserver
+{
+public:
+    Impl(const NodeSettings &settings, TargetOrders &orders, Metrics &metrics, std::uint64_t random);
+
+    Result<Done> start(CallerPort &callers, CoordinationStore &store);
+    void beginStop(std::function<void()> stopped);
+
+    // What callers do.
+    void requestArrived(CallerRequest request) override;
+    void callerGone(CallerId caller) override;
+
+    // What the store tells.
+    void configurationRead(FleetConfiguration configuration) override;
+    void targetRead(const DispatchTarget &target) override;
+    void targetVanished(const TargetName &target) override;
+    void targetsListed(const std::vector<DispatchTarget> &targets) override;
+    void instanceRead(const AnnouncedInstance &instance) override;
+    void instanceVanished(const InstanceName &name) override;
+    void recordRejected(const Error &error) override;
+    void storeReachable(bool reachable, const std::string &detail) override;
+
+    // Answers of targets.
+    void startAnswered(const TargetName &target, const RunName &run, const OrderResult &result) override;
+    void stopAnswered(const TargetName &target, const RunName &run, const OrderResult &result) override;
+    void inspected(const TargetName &target, const TargetReport &report, const OrderResult &result) override;
+    void inspectionFailed(const TargetName &target, const OrderResult &result) override;
+
+    // What peers do.
+    void peerHeard(const InstanceName &peer) override;
+    void peerStatus(const InstanceName &peer, const ZoneName &zone, bool owner, const DispatcherLoad &load) override;
+    void sessionEnded(const InstanceName &peer, const std::string &why) override;
+    void peerSubmitted(const InstanceName &peer, std::uint64_t ticket, JobRequest request) override;
+    void peerWithdrew(const InstanceName &peer, std::uint64_t ticket) override;
+    void peerEnded(const InstanceName &peer, const JobEnd &end) override;
+    void configurationOffered(const InstanceName &peer, FleetConfiguration configuration) override;
+    const FleetConfiguration &configuration() override;
+
+    // What the home decides.
+    void jobRouted(const InstanceName &dispatcher, std::uint64_t ticket, const JobRequest &request) override;
+    void jobWithdrawn(const InstanceName &dispatcher, std::uint64_t ticket) override;
+    void jobAnswered(CallerId caller, const JobEnd &end) override;
+
+    // What the dispatcher decides.
+    void jobEnded(const InstanceName &home, const JobEnd &end) override;
+    void runDecided(std::string_view decision,
+                    const RunName &run,
+                    const TargetName &target,
+                    double detail) override;
+    void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail) override;
+
+private:
+    /// A caller's job between its request and its answer.
+    struct Arrival
+    {
+        std::string requestId;
+        RouteName route;
+        Instant at;
+    };
+
+    void enter();
+    void settle();
+    void advance();
+    void recoverFromStandstill(Duration gap);
+    void submitJob(CallerRequest &request, const FleetRoute *route);
+    void refuse(CallerId caller, const JobId &id, JobEndReason reason);
+    void applyConfiguration(FleetConfiguration configuration, const std::string &source);
+    void advanceOwnership();
+    void applyOwnership();
+    void ownAllTargets();
+    void releaseAllTargets();
+    void advanceStop();
+
+    NodeSettings m_settings;
+    DecisionLog m_log;
+    Dispatcher m_dispatcher;
+    JobHome m_home;
+    ZoneOwnership m_ownership;
+    ConfigurationView m_configuration;
+    TargetList m_targets;
+    PeerLink m_link;
+    QTimer m_timer;
+    CallerPort *m_callers = nullptr;
+    CoordinationStore *m_store = nullptr;
+    Instant m_now {};
+    std::map<CallerId, Arrival> m_arrivals;
+    std::optional<FencingToken> m_token; ///< Under which the targets are owned at present.
+    std::deque<std::function<void()>> m_local; ///< What one part says to another.
+    bool m_ready = false;
+
+    // Planned stop.
+    std::function<void()> m_stopped;
+    Instant m_stopBegan {};
+    bool m_closing = false;
+    bool m_withdrawing = false;
+};
+
+} // namespace Eelgrasscleat
--- /dev/null
+++ b/lib/Node/PeerMessages.cpp
@@ -0,0 +1,174 @@
+/// @file
+/// Field by field; times travel as durations, since clocks of instances can't be compared.
+#include "PeerMessages.h"
+
+#include <algorithm>
+
+namespace Eelgrasscleat
+{
+
+static std::uint64_t micros(Duration duration)
+{
+    return static_cast<std::uint64_t>(std::max<Duration::rep>(0, duration.count()));
+}
+
+static Duration duration(std::uint64_t micros)
+{
+    return Duration(static_cast<Duration::rep>(micros));
+}
+
+static void writeStep(const JobStep &step, schema::DispatchJob::Step &message)
+{
+    message.set_tasks(step.tasks);
+    message.set_milli_cores(step.demand.milliCores);
+    message.set_memory_mb(step.demand.memoryMb);
+    message.set_accelerators(step.demand.accelerators);
+    message.set_estimate_us(micros(step.estimate));
+    for (const std::uint32_t it : step.after) {
+        message.add_after(it);
+    }
+    message.set_required_label(step.requiredLabel);
+    message.set_preferred_rack(step.preferredRack);
+    message.set_per_target_limit(step.perTargetLimit);
+}
+
+static JobStep readStep(const schema::DispatchJob::Step &message)
+{
+    JobStep step;
+    step.tasks = message.tasks();
+    step.demand = { message.milli_cores(), message.memory_mb(), message.accelerators() };
+    step.estimate = duration(message.estimate_us());
+    step.after.assign(message.after().begin(), message.after().end());
+    step.requiredLabel = message.required_label();
+    step.preferredRack = message.preferred_rack();
+    step.perTargetLimit = message.per_target_limit();
+    return step;
+}
+
+void writeJob(const JobRequest &request, std::uint64_t ticket, Instant now, schema::DispatchJob &message)
+{
+    message.set_ticket(ticket);
+    message.set_id(request.id.value);
+    message.set_route(request.route.value);
+    message.set_service(request.service.value);
+    message.set_payload(request.payload);
+    for (const JobStep &it : request.steps) {
+        writeStep(it, *message.add_steps());
+    }
+    message.set_priority(request.priority);
+    message.set_attempts(request.attempts);
+    message.set_stretch(request.stretch);
+    message.set_latency_target_us(micros(request.latencyTarget));
+    message.set_age_us(micros(now - request.submitted));
+    message.set_left_us(micros(request.deadline - now));
+}
+
+JobRequest readJob(const schema::DispatchJob &message, Instant now)
+{
+    JobRequest request;
+    request.id = JobId(message.id());
+    request.route = RouteName(message.route());
+    request.service = ServiceName(message.service());
+    request.payload = message.payload();
+    for (const auto &it : message.steps()) {
+        request.steps.push_back(readStep(it));
+    }
+    request.priority = message.priority();
+    request.attempts = message.attempts();
+    request.stretch = message.stretch();
+    request.latencyTarget = duration(message.latency_target_us());
+    request.submitted = now - duration(message.age_us());
+    request.deadline = now + duration(message.left_us());
+    return request;
+}
+
+void writeEnd(const JobEnd &end, schema::DispatchEnd &message)
+{
+    message.set_ticket(end.ticket);
+    message.set_id(end.id.value);
+    message.set_outcome(static_cast<std::uint32_t>(end.outcome));
+    message.set_reason(static_cast<std::uint32_t>(end.reason));
+    message.set_retry_after_us(micros(end.retryAfter));
+}
+
+std::optional<JobEnd> readEnd(const schema::DispatchEnd &message)
+{
+    if (message.outcome() > static_cast<std::uint32_t>(JobOutcome::Canceled)
+        || message.reason() > static_cast<std::uint32_t>(JobEndReason::TargetsLost)) {
+        return std::nullopt;
+    }
+    JobEnd end;
+    end.ticket = message.ticket();
+    end.id = JobId(message.id());
+    end.outcome = static_cast<JobOutcome>(message.outcome());
+    end.reason = static_cast<JobEndReason>(message.reason());
+    end.retryAfter = duration(message.retry_after_us());
+    return end;
+}
+
+void writeLoad(const DispatcherLoad &load, schema::DispatchStatus &message)
+{
+    message.set_draining(load.draining);
+    message.set_targets(load.targets);
+    message.set_total_milli_cores(load.totalMilliCores);
+    message.set_free_milli_cores(load.freeMilliCores);
+    message.set_largest_milli_cores(load.largestMilliCores);
+    message.set_queued_core_ms(load.queuedCoreMillis);
+}
+
+DispatcherLoad readLoad(const schema::DispatchStatus &message)
+{
+    DispatcherLoad load;
+    load.draining = message.draining();
+    load.targets = message.targets();
+    load.totalMilliCores = message.total_milli_cores();
+    load.freeMilliCores = message.free_milli_cores();
+    load.largestMilliCores = message.largest_milli_cores();
+    load.queuedCoreMillis = message.queued_core_ms();
+    return load;
+}
+
+void writeConfiguration(const FleetConfiguration &configuration, schema::FleetConfig &message)
+{
+    message.set_version(configuration.version.value);
+    message.set_header_bytes(configuration.headerBytes);
+    message.set_body_bytes(configuration.bodyBytes);
+    message.set_idle_timeout_us(micros(configuration.idleTimeout));
+    for (const FleetRoute &it : configuration.routes) {
+        auto &route = *message.add_routes();
+        route.set_name(it.name.value);
+        route.set_host(it.host);
+        route.set_path_prefix(it.pathPrefix);
+        route.set_service(it.service.value);
+        route.set_priority(it.priority);
+        route.set_attempts(it.attempts);
+        route.set_stretch(it.stretch);
+        route.set_latency_target_us(micros(it.latencyTarget));
+        route.set_timeout_us(micros(it.timeout));
+    }
+}
+
+FleetConfiguration readConfiguration(const schema::FleetConfig &message)
+{
+    FleetConfiguration configuration;
+    configuration.version = ConfigVersion(message.version());
+    configuration.headerBytes = message.header_bytes();
+    configuration.bodyBytes = message.body_bytes();
+    configuration.idleTimeout = duration(message.idle_timeout_us());
+    for (const auto &it : message.routes()) {
+        FleetRoute route;
+        route.name = RouteName(it.name());
+        route.host = it.host();
+        route.pathPrefix = it.path_prefix();
+        route.service = ServiceName(it.service());
+        route.priority = it.priority();
+        route.attempts = it.attempts();
+        route.stretch = it.stretch();
+        route.latencyTarget = duration(it.latency_target_us());
+        route.timeout = duration(it.timeout_us());
+        configuration.routes.push_back(std::move(route));
+    }
+    return configuration;
+}
+
+} // namespace Eelgrasscleat
--- /dev/null
+++ b/lib/Node/PeerMessages.h
@@ -0,0 +1,30 @@
+/// @file
+/// Jobs, ends, loads and configurations as messages between instances.
+#pragma once
+
+#include <eelgrasscleat/Dispatch/Dispatcher.h>
+#include <eelgrasscleat/Dispatch/FleetView.h>
+#include <eelgrasscleat/Support/Schema.h>
+
+#include <peer.pb.h>
+
+#include <optional>
+
+namespace Eelgrasscleat
+{
+
+void writeJob(const JobRequest &request, std::uint64_t ticket, Instant now, schema::DispatchJob &message);
+/// @param now stands for the moment at which the message was sent
+JobRequest readJob(const schema::DispatchJob &message, Instant now);
+
+void writeEnd(const JobEnd &end, schema::DispatchEnd &message);
+/// @returns nothing if the message holds no valid end.
+std::optional<JobEnd> readEnd(const schema::DispatchEnd &message);
+
+void writeLoad(const DispatcherLoad &load, schema::DispatchStatus &message);
+DispatcherLoad readLoad(const schema::DispatchStatus &message);
+
+void writeConfiguration(const FleetConfiguration &configuration, schema::FleetConfig &message);
+FleetConfiguration readConfiguration(const schema::FleetConfig &message);
+
+} // namespace Eelgrasscleat
--- a/lib/Placement/HealthTracker.cpp
+++ b/lib/Placement/HealthTracker.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// Outcome-based health: a moving failure rate against that of the target's peers.
-#include "HealthTracker.h"
+#include <eelgrasscleat/Placement/HealthTracker.h>
 
 #include <algorithm>
 #include <cassert>
--- a/lib/Placement/ServiceTargets.h
+++ b/lib/Placement/ServiceTargets.h
@@ -2,7 +2,7 @@
 /// The targets of one service and the decisions among them: which is best now, and whether waiting is better.
 #pragma once
 
-#include "SpeedModel.h"
+#include <eelgrasscleat/Placement/SpeedModel.h>
 #include "TargetPool.h"
 
 #include <memory>
--- a/lib/Placement/SpeedClassIndex.h
+++ b/lib/Placement/SpeedClassIndex.h
@@ -2,7 +2,7 @@
 /// Targets in classes by speed, so that the fastest is found without a scan of all targets.
 #pragma once
 
-#include "HealthTracker.h"
+#include <eelgrasscleat/Placement/HealthTracker.h>
 
 #include <array>
 #include <cstdint>
--- a/lib/Placement/SpeedModel.cpp
+++ b/lib/Placement/SpeedModel.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// Estimators in log space: a scalar Kalman filter for a target's slowness, a moving average for a customer's sizes.
-#include "SpeedModel.h"
+#include <eelgrasscleat/Placement/SpeedModel.h>
 
 #include <algorithm>
 #include <cmath>
@@ -11,8 +11,6 @@
 namespace
 {
 
-/// Variance that a target's slowness gains with each sample, so that a changed speed is followed.
-constexpr double kSpeedDriftVariance = 1e-5;
 /// Samples beyond this many standard deviations are cut to it.
 constexpr double kOutlierDeviations = 3;
 /// Smallest weight of a new sample in a customer's moving averages.
@@ -38,7 +36,7 @@
     const double spread = m_variance + noiseVariance;
     const double gain = m_variance / spread;
     m_mean += gain * cutOutlier(logRatio - m_mean, spread);
-    m_variance = (1 - gain) * m_variance + kSpeedDriftVariance;
+    m_variance = (1 - gain) * m_variance + m_driftVariance;
 }
 
 void SizeModel::Correction::learn(double value)
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -2,6 +2,7 @@
 /// JSON lines through log4cxx. Fields travel in the mapped diagnostic context of the one call that writes them.
 #include <eelgrasscleat/Support/Log.h>
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
@@ -14,13 +15,28 @@
 
 static log4cxx::LoggerPtr processLogger;
 
-void startLogging(const std::string &process, std::string_view level)
+/// Lines that wait to be written before new ones are dropped: about half a second of the busiest instance.
+static constexpr int WaitingLines = 1024;
+
+static log4cxx::AppenderPtr makeAppender(LogSink sink)
 {
     auto layout = std::make_shared<log4cxx::JSONLayout>();
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    if (sink == LogSink::StandardError) {
+        return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    }
+    auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(WaitingLines);
+    queue->setBlocking(false);
+    queue->addAppender(console);
+    return queue;
+}
+
+void startLogging(const std::string &process, std::string_view level, LogSink sink)
+{
     auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    root->addAppender(makeAppender(sink));
     root->setLevel(log4cxx::Level::toLevel(std::string(level), log4cxx::Level::getInfo()));
     processLogger = log4cxx::Logger::getLogger(process);
 }
--- a/lib/Wire/HttpClient.cpp
+++ b/lib/Wire/HttpClient.cpp
@@ -26,7 +26,7 @@
 /// Largest answer that is taken from the other side.
 static constexpr std::uint64_t AnswerBytes = std::uint64_t { 16 } * 1024 * 1024;
 
-/// Time between looks for calls whose time is up.
+/// Calls whose time is up within this are ended together.
 static constexpr std::chrono::milliseconds SweepInterval { 10 };
 
 static Instant currentInstant()
@@ -96,6 +96,12 @@
         return m_call.has_value();
     }
 
+    /// @returns when the call's time is up, or never.
+    [[nodiscard]] Instant giveUpAt() const
+    {
+        return m_call ? m_call->giveUpAt : Instant::max();
+    }
+
     [[nodiscard]] bool isBroken() const
     {
         return m_broken;
@@ -128,6 +134,9 @@
         if (!call.authorization.empty()) {
             text += "\r\nAuthorization: " + call.authorization;
         }
+        for (const HttpHeader &it : call.headers) {
+            text += "\r\n" + it.name + ": " + it.value;
+        }
         text +=
             "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(call.body.size()) + "\r\n\r\n";
         text += call.body;
@@ -225,7 +234,7 @@
         , m_port(port)
         , m_limit(connections)
     {
-        m_sweep.setInterval(SweepInterval);
+        m_sweep.setSingleShot(true);
         QObject::connect(&m_sweep, &QTimer::timeout, &m_context, [this] { sweep(); });
     }
 
@@ -235,10 +244,8 @@
         if (pending.call.timeout.count() > 0) {
             pending.giveUpAt = currentInstant() + pending.call.timeout;
         }
+        wakeBy(std::min(pending.giveUpAt, pending.call.sendBefore));
         m_waiting.push_back(std::move(pending));
-        if (!m_sweep.isActive()) {
-            m_sweep.start();
-        }
         scheduleWork();
     }
 
@@ -317,9 +324,23 @@
         for (auto &it : late) {
             it.done({ CallEnd::NotSent, 0, "", "no connection in time" });
         }
-        if (pending() == 0) {
-            m_sweep.stop();
+        for (const auto &it : m_connections) {
+            wakeBy(it->giveUpAt());
+        }
+        for (const auto &it : m_waiting) {
+            wakeBy(std::min(it.giveUpAt, it.call.sendBefore));
+        }
+    }
+
+    /// Sets the timer so that it fires no later than shortly after @p when.
+    void wakeBy(Instant when)
+    {
+        if (when == Instant::max() || (m_sweep.isActive() && m_wakeAt <= when)) {
+            return;
         }
+        m_wakeAt = when;
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(when - currentInstant());
+        m_sweep.start(std::max(SweepInterval, wait));
     }
 
     QObject m_context;
@@ -329,6 +350,7 @@
     std::deque<PendingCall> m_waiting;
     std::vector<std::unique_ptr<PooledConnection>> m_connections;
     QTimer m_sweep;
+    Instant m_wakeAt {}; ///< When the timer fires.
     bool m_scheduled = false;
 };
 
--- a/lib/Wire/HttpConnection.cpp
+++ b/lib/Wire/HttpConnection.cpp
@@ -137,6 +137,10 @@
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.authorization = std::string(message[http::field::authorization]);
+    request.host = std::string(message[http::field::host]);
+    for (const auto &it : message) {
+        request.headers.emplace_back(std::string(it.name_string()), std::string(it.value()));
+    }
     request.body = std::move(message.body());
     request.peer = m_peer;
     m_closing = m_closing || !exchange.keepAlive;
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -69,6 +69,18 @@
         m_server.close();
     }
 
+    void abortAll()
+    {
+        for (const auto &it : m_connections) {
+            it->abort();
+        }
+    }
+
+    void setLimits(const HttpServerLimits &limits)
+    {
+        m_limits = limits;
+    }
+
     void respond(CallerId id, const HttpResponse &response)
     {
         const auto it = m_owners.find(id);
@@ -189,6 +201,16 @@
     m_impl->stopListening();
 }
 
+void HttpServer::abortAll()
+{
+    m_impl->abortAll();
+}
+
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    m_impl->setLimits(limits);
+}
+
 void HttpServer::abort(CallerId id)
 {
     m_impl->abort(id);
--- a/lib/Wire/PeerNetwork.cpp
+++ b/lib/Wire/PeerNetwork.cpp
@@ -10,6 +10,10 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -20,13 +24,6 @@
 /// Most bytes of messages that wait for one peer; beyond it messages are dropped.
 static constexpr std::size_t WaitingBytesPerPeer = std::size_t { 8 } * 1024 * 1024;
 
-/// Wait before connecting again, doubled at each failure up to the longest.
-static constexpr std::chrono::milliseconds ShortestReconnect { 100 };
-static constexpr std::chrono::milliseconds LongestReconnect { 2000 };
-
-/// Time for a connection to be made.
-static constexpr std::chrono::milliseconds ConnectTimeout { 2000 };
-
 /// Path of the one request on each connection.
 static const char *const MessagesPath = "/eelgrasscleat/messages";
 
@@ -34,9 +31,11 @@
 class OutgoingPeer : public Http2SessionOwner
 {
 public:
-    OutgoingPeer(PeerEndpoint endpoint, PeerNetworkHandler &handler)
+    OutgoingPeer(PeerEndpoint endpoint, PeerNetworkHandler &handler, const PeerTiming &timing)
         : m_endpoint(std::move(endpoint))
         , m_handler(handler)
+        , m_timing(timing)
+        , m_wait(timing.shortestReconnect)
     {
         m_timer.setSingleShot(true);
         QObject::connect(&m_timer, &QTimer::timeout, &m_context, [this] { connectOrGiveUp(); });
@@ -53,6 +52,17 @@
         m_session->sendBody(bytes);
     }
 
+    [[nodiscard]] const PeerEndpoint &endpoint() const
+    {
+        return m_endpoint;
+    }
+
+    void reset()
+    {
+        m_wait = m_timing.shortestReconnect;
+        broke();
+    }
+
     [[nodiscard]] bool isFlushed() const
     {
         return !m_session || m_session->waitingBytes() == 0;
@@ -88,13 +98,18 @@
                 &m_context, [this] { broke(); }, Qt::QueuedConnection);
         });
         m_socket->connectToHost(QHostAddress(QString::fromStdString(m_endpoint.address)), m_endpoint.port);
-        m_timer.start(ConnectTimeout);
+        m_timer.start(m_timing.connect);
     }
 
     void connected()
     {
         m_timer.stop();
-        m_wait = ShortestReconnect;
+        m_wait = m_timing.shortestReconnect;
+        if (m_timing.unacknowledged.count() > 0) {
+            const auto limit = static_cast<unsigned>(m_timing.unacknowledged.count());
+            const auto descriptor = static_cast<int>(m_socket->socketDescriptor());
+            ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+        }
         m_session = std::make_unique<Http2Session>(*m_socket, Http2Side::Client, *this);
         m_session->openRequest(MessagesPath, m_endpoint.address + ":" + std::to_string(m_endpoint.port));
         m_handler.peerStreamChanged(m_endpoint.name, true);
@@ -111,7 +126,7 @@
         m_socket->abort();
         m_socket.reset();
         m_timer.start(m_wait);
-        m_wait = std::min(m_wait * 2, LongestReconnect);
+        m_wait = std::min(m_wait * 2, m_timing.longestReconnect);
         if (wasUp) {
             m_handler.peerStreamChanged(m_endpoint.name, false);
         }
@@ -119,9 +134,10 @@
 
     PeerEndpoint m_endpoint;
     PeerNetworkHandler &m_handler;
+    PeerTiming m_timing;
     QObject m_context;
     QTimer m_timer;
-    std::chrono::milliseconds m_wait = ShortestReconnect;
+    std::chrono::milliseconds m_wait;
     std::unique_ptr<QTcpSocket> m_socket;
     std::unique_ptr<Http2Session> m_session;
     std::uint64_t m_bytesSent = 0;
@@ -197,10 +213,11 @@
 class PeerNetwork::Impl
 {
 public:
-    Impl(PeerNetworkHandler &handler, PeerId self, std::vector<PeerEndpoint> peers)
+    Impl(PeerNetworkHandler &handler, PeerId self, std::vector<PeerEndpoint> peers, const PeerTiming &timing)
         : m_handler(handler)
         , m_self(std::move(self))
         , m_endpoints(std::move(peers))
+        , m_timing(timing)
     {
         QObject::connect(&m_server, &QTcpServer::newConnection, &m_context, [this] { acceptAll(); });
         m_sweep.setInterval(std::chrono::seconds(1));
@@ -214,10 +231,36 @@
             const std::string peer = address + ":" + std::to_string(port);
             return Error { ErrorCode::Unavailable, Step::Connect, peer, m_server.errorString().toStdString() };
         }
+        m_started = true;
+        setPeers(m_endpoints);
+        return m_server.serverPort();
+    }
+
+    void setPeers(std::vector<PeerEndpoint> peers)
+    {
+        m_endpoints = std::move(peers);
+        if (!m_started) {
+            return;
+        }
+        std::erase_if(m_outgoing, [this](const auto &it) {
+            return std::find(m_endpoints.begin(), m_endpoints.end(), it.second->endpoint()) == m_endpoints.end();
+        });
         for (const PeerEndpoint &it : m_endpoints) {
-            m_outgoing.emplace(it.name, std::make_unique<OutgoingPeer>(it, m_handler));
+            if (m_outgoing.find(it.name) == m_outgoing.end()) {
+                m_outgoing.emplace(it.name, std::make_unique<OutgoingPeer>(it, m_handler, m_timing));
+            }
+        }
+    }
+
+    void resetConnections()
+    {
+        for (const auto &it : m_incoming) {
+            m_receivedByEnded += it->bytesReceived();
+        }
+        m_incoming.clear();
+        for (const auto &it : m_outgoing) {
+            it.second->reset();
         }
-        return m_server.serverPort();
     }
 
     void send(const InstanceName &peer, schema::PeerMessage &message)
@@ -268,6 +311,8 @@
     PeerNetworkHandler &m_handler;
     PeerId m_self;
     std::vector<PeerEndpoint> m_endpoints;
+    PeerTiming m_timing;
+    bool m_started = false;
     QObject m_context;
     QTcpServer m_server;
     QTimer m_sweep;
@@ -276,9 +321,22 @@
     std::uint64_t m_receivedByEnded = 0;
 };
 
-PeerNetwork::PeerNetwork(PeerNetworkHandler &handler, PeerId self, std::vector<PeerEndpoint> peers)
-    : m_impl(std::make_unique<Impl>(handler, std::move(self), std::move(peers)))
+PeerNetwork::PeerNetwork(PeerNetworkHandler &handler,
+                         PeerId self,
+                         std::vector<PeerEndpoint> peers,
+                         const PeerTiming &timing)
+    : m_impl(std::make_unique<Impl>(handler, std::move(self), std::move(peers), timing))
+{
+}
+
+void PeerNetwork::setPeers(const std::vector<PeerEndpoint> &peers)
+{
+    m_impl->setPeers(peers);
+}
+
+void PeerNetwork::resetConnections()
 {
+    m_impl->resetConnections();
 }
 
 PeerNetwork::~PeerNetwork() = default;
--- a/unittests/Placement/PlacerScheduleTest.cpp
+++ b/unittests/Placement/PlacerScheduleTest.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// Random schedules of events with fixed seeds; invariants hold after every step.
-#include "../../lib/Placement/HealthTracker.h"
+#include <eelgrasscleat/Placement/HealthTracker.h>
 
 #include <eelgrasscleat/Placement/Placer.h>
 
