--- a/include/eelgrasscleat/Dispatch/JobHome.h
+++ b/include/eelgrasscleat/Dispatch/JobHome.h
@@ -63,6 +63,9 @@
     /// The instance is gone, or its session ended: nothing will be heard of its jobs.
     void dispatcherLost(const InstanceName &name);
 
+    /// Planned stop: open jobs must end by @p latest.
+    void shortenDeadlines(Instant latest);
+
     /// Does what is due.
     void advance(Instant now);
 
--- a/include/eelgrasscleat/Node/DispatchNode.h
+++ b/include/eelgrasscleat/Node/DispatchNode.h
@@ -26,7 +26,9 @@
     Duration lapseGrace = std::chrono::milliseconds(2500);
     /// Planned stop: time in which the balancer takes the instance out of rotation.
     Duration rotationTime = std::chrono::milliseconds(3200);
-    /// Planned stop: all has to be over by then.
+    /// Planned stop: every caller is answered by then.
+    Duration answerTime = std::chrono::milliseconds(5200);
+    /// Planned stop: the process ends by then, before the platform kills it.
     Duration stopTime = std::chrono::milliseconds(5500);
 };
 
--- a/include/eelgrasscleat/Node/Ports.h
+++ b/include/eelgrasscleat/Node/Ports.h
@@ -96,8 +96,7 @@
     /// Joins the group of the zone, or renews the membership. An error leaves open what has happened.
     virtual void renewMembership(std::uint64_t generation,
                                  std::chrono::milliseconds timeToLive,
-                                 std::function<void(Result<MembershipAnswer>)> done)
-        = 0;
+                                 std::function<void(Result<MembershipAnswer>)> done) = 0;
     virtual void leaveGroup(std::function<void(Result<Done>)> done) = 0;
 };
 
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -41,8 +41,8 @@
     double milliCores = 0;
     for (const auto &it : m_targets) {
         if (m_chooser.isUsable(*it.second, now)) {
-            milliCores += it.second->ledger.target().capacity.milliCores
-                / std::exp(it.second->ledger.speed.logSlowness());
+            milliCores +=
+                it.second->ledger.target().capacity.milliCores / std::exp(it.second->ledger.speed.logSlowness());
         }
     }
     return milliCores;
@@ -247,9 +247,8 @@
     for (const auto &it : m_targets) {
         advanceTarget(*it.second, now);
     }
-    std::erase_if(m_recent, [&](const auto &it) {
-        return it.second.dying == 0 && now - it.second.lastUse > kRecentJobs;
-    });
+    std::erase_if(m_recent,
+                  [&](const auto &it) { return it.second.dying == 0 && now - it.second.lastUse > kRecentJobs; });
     placeWaiting(now);
 }
 
@@ -355,10 +354,7 @@
     m_impl->stopAnswered(target, run, result, now);
 }
 
-void Dispatcher::inspected(const TargetName &target,
-                           const TargetReport &report,
-                           const OrderResult &result,
-                           Instant now)
+void Dispatcher::inspected(const TargetName &target, const TargetReport &report, const OrderResult &result, Instant now)
 {
     m_impl->m_lastNow = now;
     m_impl->inspected(target, report, result, now);
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -193,11 +193,8 @@
 }
 
 /// A run is proved not to be at work. Its task may be started again.
-void Dispatcher::Impl::runGone(OwnedTarget &target,
-                               const RunName &name,
-                               const LedgerRun &run,
-                               bool hadNoEffect,
-                               Instant now)
+void Dispatcher::Impl::runGone(
+    OwnedTarget &target, const RunName &name, const LedgerRun &run, bool hadNoEffect, Instant now)
 {
     RecentRuns &recent = m_recent[name.task.job];
     recent.lastRun = std::max(recent.lastRun, name.run);
@@ -220,7 +217,8 @@
     m_health.ended(target.healthIndex, outcome, probe, now);
     const HealthState after = m_health.state(target.healthIndex);
     if (before != after) {
-        m_observer.targetChanged(after == HealthState::Serving ? "restored" : "ejected", target.ledger.target().name, 0);
+        m_observer.targetChanged(
+            after == HealthState::Serving ? "restored" : "ejected", target.ledger.target().name, 0);
     }
 }
 
@@ -444,8 +442,8 @@
     }
 }
 
-/// Finds runs that stand still and starts their tasks elsewhere. A run that is merely longer than expected moves on, and
-/// is left alone: it would take as long on another target.
+/// Finds runs that stand still and starts their tasks elsewhere. A run that is merely longer than expected moves on,
+/// and is left alone: it would take as long on another target.
 void Dispatcher::Impl::checkProgress(OwnedTarget &target, Instant now)
 {
     const double slowness = std::exp(target.ledger.speed.logSlowness());
--- a/lib/Dispatch/JobBoard.cpp
+++ b/lib/Dispatch/JobBoard.cpp
@@ -115,8 +115,7 @@
     }
     const JobStep &step = job.request.steps[task.step];
     QueuedWork &queued = m_queued[job.request.priority];
-    const double work =
-        static_cast<double>(step.demand.milliCores) * static_cast<double>(job.chain.count());
+    const double work = static_cast<double>(step.demand.milliCores) * static_cast<double>(job.chain.count());
     if (entry.state == TaskState::Ready) {
         --job.tasksReady;
         --queued.tasks;
--- a/lib/Dispatch/JobHome.cpp
+++ b/lib/Dispatch/JobHome.cpp
@@ -183,6 +183,13 @@
     }
 }
 
+void JobHome::shortenDeadlines(Instant latest)
+{
+    for (auto &it : m_open) {
+        it.second.request.deadline = std::min(it.second.request.deadline, latest);
+    }
+}
+
 void JobHome::advance(Instant now)
 {
     std::vector<InstanceName> silent;
@@ -225,8 +232,8 @@
 
 bool JobHome::cancel(const JobId &id)
 {
-    const auto it = std::find_if(
-        m_open.begin(), m_open.end(), [&id](const auto &job) { return job.second.request.id == id; });
+    const auto it =
+        std::find_if(m_open.begin(), m_open.end(), [&id](const auto &job) { return job.second.request.id == id; });
     if (it == m_open.end()) {
         return false;
     }
--- a/lib/Dispatch/TargetChooser.cpp
+++ b/lib/Dispatch/TargetChooser.cpp
@@ -76,8 +76,7 @@
             continue;
         }
         const ResourceDemand room = ledger.room();
-        if (!step.demand.fitsIn(room)
-            || (step.perTargetLimit > 0 && runsOfStep(ledger, task) >= step.perTargetLimit)) {
+        if (!step.demand.fitsIn(room) || (step.perTargetLimit > 0 && runsOfStep(ledger, task) >= step.perTargetLimit)) {
             continue;
         }
         const double leftCores = (room.milliCores - step.demand.milliCores) / 1000.0;
--- a/lib/Dispatch/TargetLedger.cpp
+++ b/lib/Dispatch/TargetLedger.cpp
@@ -133,8 +133,8 @@
             continue;
         }
         const bool wasRunning = run.state == RunState::Running && run.startedAt < sentAt;
-        const bool wasStopped = run.state == RunState::Stopping && run.stopAnsweredAt != Instant {}
-            && run.stopAnsweredAt < sentAt;
+        const bool wasStopped =
+            run.state == RunState::Stopping && run.stopAnsweredAt != Instant {} && run.stopAnsweredAt < sentAt;
         if (wasRunning || wasStopped) {
             findings.vanished.emplace_back(it->first, std::move(run));
             it = m_runs.erase(it);
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -71,11 +71,9 @@
     const std::string outcome(jobOutcomeName(end.outcome));
     const std::string reason(jobEndReasonName(end.reason));
     const std::string label = end.reason == JobEndReason::None ? outcome : outcome + ':' + reason;
-    m_metrics
-        .counter("eelgrasscleat_jobs_total", "end", label, "Jobs answered to callers, by outcome and reason")
+    m_metrics.counter("eelgrasscleat_jobs_total", "end", label, "Jobs answered to callers, by outcome and reason")
         .Increment();
-    m_metrics
-        .latency("eelgrasscleat_job_ms", "outcome", outcome, "Time from a job's request to its answer, in ms")
+    m_metrics.latency("eelgrasscleat_job_ms", "outcome", outcome, "Time from a job's request to its answer, in ms")
         .Observe(std::chrono::duration<double, std::milli>(took).count());
     if (!mayWrite(now)) {
         return;
@@ -90,11 +88,8 @@
                { "retry_ms", milliseconds(end.retryAfter) } });
 }
 
-void DecisionLog::runDecided(std::string_view decision,
-                             const RunName &run,
-                             const TargetName &target,
-                             double detail,
-                             Instant now)
+void DecisionLog::runDecided(
+    std::string_view decision, const RunName &run, const TargetName &target, double detail, Instant now)
 {
     auto it = m_runCounters.find(decision);
     if (it == m_runCounters.end()) {
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -22,8 +22,8 @@
 {
     timespec time {};
     ::clock_gettime(CLOCK_BOOTTIME, &time);
-    return Instant(std::chrono::duration_cast<Duration>(
-        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+    return Instant(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                        + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 DispatchNode::Impl::Impl(const NodeSettings &settings, TargetOrders &orders, Metrics &metrics, std::uint64_t random)
@@ -164,9 +164,9 @@
 {
     const auto token = m_ownership.token();
     if (token != m_token) {
-        m_log.changed(token ? "zone owned" : "zone given up",
-                      { { "zone", m_settings.self.zone.value },
-                        { "token", token ? token->value : std::uint64_t { 0 } } });
+        m_log.changed(
+            token ? "zone owned" : "zone given up",
+            { { "zone", m_settings.self.zone.value }, { "token", token ? token->value : std::uint64_t { 0 } } });
         m_token = token;
         if (token) {
             m_store->followTargets(true);
@@ -226,8 +226,7 @@
         return;
     }
     m_callers->setLimits(m_configuration.current());
-    m_log.changed("configuration applied",
-                  { { "version", version }, { "routes", routes }, { "source", source } });
+    m_log.changed("configuration applied", { { "version", version }, { "routes", routes }, { "source", source } });
 }
 
 const FleetConfiguration &DispatchNode::Impl::configuration()
@@ -278,10 +277,9 @@
 
 void DispatchNode::Impl::recordRejected(const Error &error)
 {
-    m_log.changed("record rejected",
-                  { { "step", std::string(stepName(error.step)) },
-                    { "peer", error.peer },
-                    { "detail", error.detail } });
+    m_log.changed(
+        "record rejected",
+        { { "step", std::string(stepName(error.step)) }, { "peer", error.peer }, { "detail", error.detail } });
 }
 
 void DispatchNode::Impl::storeReachable(bool reachable, const std::string &detail)
@@ -297,6 +295,7 @@
     m_log.changed("planned stop begins", { { "open_jobs", std::uint64_t { m_home.openJobs() } } });
     m_ownership.stop();
     m_dispatcher.drain(m_now);
+    m_home.shortenDeadlines(m_stopBegan + m_settings.answerTime);
     advance();
 }
 
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -68,10 +68,7 @@
 
     // What the dispatcher decides.
     void jobEnded(const InstanceName &home, const JobEnd &end) override;
-    void runDecided(std::string_view decision,
-                    const RunName &run,
-                    const TargetName &target,
-                    double detail) override;
+    void runDecided(std::string_view decision, const RunName &run, const TargetName &target, double detail) override;
     void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail) override;
 
 private:
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -2,6 +2,8 @@
 /// Jobs of an instance: from callers to the home, between home and dispatchers, from targets to the dispatcher.
 #include "NodeImpl.h"
 
+#include <algorithm>
+
 namespace Eelgrasscleat
 {
 
@@ -82,6 +84,10 @@
     job->latencyTarget = route->latencyTarget;
     job->submitted = m_now;
     job->deadline = m_now + (request.timeAllowed > Duration::zero() ? request.timeAllowed : route->timeout);
+    if (m_stopped) {
+        // What can't end before this instance does is refused now, and the rest is answered in time.
+        job->deadline = std::min(job->deadline, m_stopBegan + m_settings.answerTime);
+    }
     m_arrivals[request.caller] = { request.requestId, route->name, m_now };
     m_home.submit(request.caller, std::move(*job), m_now);
 }
