Dispatch: schedules of two owners under lost and late orders; three faults mended

Cause: 1,000 fixed-seed schedules (unittests/Dispatch) with lost, late and reordered orders, owners that freeze, are cut off or lose the zone without notice, and targets that restart, failed first at three seeds: - seed 432, over capacity: a restarted target forgets the fence, so an owner that had lost the zone could still start there. A token that one target fences now counts as fenced for all targets owned under it, and the ownership asks the group again. - seed 786, a task at work twice: a start order was under way while its target restarted, and was carried out by the new incarnation. Such runs stay in the ledger until a stop is answered. - A restart that the list of targets tells first gave up the jobs that ran there; their tasks are now started again. Ruled out (seed 104): an order that a target held back across its own restart; the fake carried it out in the next incarnation, which no real process can. The fake drops it.

--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -62,6 +62,8 @@
     virtual void jobEnded(const InstanceName &home, const JobEnd &end) = 0;
     /// A decision about a run: for logs and counters.
     virtual void runDecided(std::string_view decision, const RunName &run, const TargetName &target, double detail) = 0;
+    /// A target knows a higher token: another instance owns the targets that were owned under @p token.
+    virtual void tokenFenced(FencingToken token, const TargetName &target) = 0;
     /// A belief about a target changed: for logs and counters.
     virtual void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail) = 0;
 };
--- a/include/eelgrasscleat/Dispatch/ZoneOwnership.h
+++ b/include/eelgrasscleat/Dispatch/ZoneOwnership.h
@@ -66,6 +66,8 @@
     MembershipAction advance(const ZoneView &view, bool isIdle, Instant now);
     void renewed(const MembershipAnswer &answer, Instant now);
     void left();
+    /// A target knows a higher token than @p token: the zone was given to another instance without notice.
+    void fenced(FencingToken token, Instant now);
     /// The platform gave no answer, or refused.
     void answerLost(Instant now);
     /// Planned stop: the zone is given up as soon as it is idle.
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -44,9 +44,7 @@
 {
     if (OwnedTarget *owned = find(target.name)) {
         const bool wasDraining = owned->ledger.target().draining;
-        if (owned->ledger.update(target)) {
-            loseRuns(*owned, now);
-        }
+        applyFindings(*owned, owned->ledger.update(target), now);
         if (target.draining != wasDraining) {
             m_observer.targetChanged(target.draining ? "draining" : "ready", target.name, target.incarnation);
         }
@@ -102,14 +100,21 @@
     }
 }
 
+/// Another owner has a higher token than @p target's. It has all targets that are owned under that token, also those
+/// that it has not reached yet: one that restarts forgets the fence, and would take orders of both.
 void Dispatcher::Impl::fenceTarget(OwnedTarget &target, Instant now)
 {
     if (target.ledger.fenced) {
         return;
     }
-    target.ledger.fenced = true;
-    m_observer.targetChanged("fenced", target.ledger.target().name, target.ledger.token().value);
-    loseRuns(target, now);
+    const FencingToken token = target.ledger.token();
+    m_observer.tokenFenced(token, target.ledger.target().name);
+    for (const auto &it : m_targets) {
+        if (it.second->ledger.token() <= token) {
+            it.second->ledger.fenced = true;
+            loseRuns(*it.second, now);
+        }
+    }
 }
 
 Instant Dispatcher::Impl::quietestHome(const OwnedTarget &target, Instant now) const
@@ -379,6 +384,11 @@
         m_observer.runDecided("vanished", it.first, name, it.second.progress);
         runGone(target, it.first, it.second, false, now);
     }
+    for (const RunName &it : findings.unsure) {
+        if (LedgerRun *run = target.ledger.findRun(it)) {
+            stopRun(target, it, *run, now);
+        }
+    }
     for (const RunName &it : findings.unknown) {
         if (LedgerRun *run = target.ledger.findRun(it)) {
             m_observer.runDecided("unknown", it, name, 0);
--- a/lib/Dispatch/TargetLedger.cpp
+++ b/lib/Dispatch/TargetLedger.cpp
@@ -31,21 +31,19 @@
 {
 }
 
-bool TargetLedger::update(const DispatchTarget &target)
+ReportFindings TargetLedger::update(const DispatchTarget &target)
 {
-    // An entry that is older than what the target said of itself changes nothing about its runs.
-    const bool restarted = target.incarnation > m_incarnation && m_incarnation != 0;
+    ReportFindings findings;
     m_target = target;
-    if (restarted) {
-        m_incarnation = target.incarnation;
-        m_hasClock = false;
-        inspected = false;
-        m_lastEnd = 0;
-        acknowledged = 0;
-    } else if (m_incarnation == 0) {
+    // An entry that is older than what the target said of itself changes nothing about its runs.
+    if (target.incarnation > m_incarnation) {
+        if (m_incarnation != 0) {
+            restart(findings);
+            inspected = false;
+        }
         m_incarnation = target.incarnation;
     }
-    return restarted;
+    return findings;
 }
 
 void TargetLedger::renewToken(FencingToken token)
@@ -79,10 +77,17 @@
 void TargetLedger::restart(ReportFindings &findings)
 {
     findings.restarted = true;
+    std::map<RunName, LedgerRun> underway;
     for (auto &it : m_runs) {
-        findings.vanished.emplace_back(it.first, std::move(it.second));
+        if (it.second.state == RunState::Starting) {
+            // Its order may yet arrive, and be carried out by the new incarnation.
+            findings.unsure.push_back(it.first);
+            underway.emplace(it.first, std::move(it.second));
+        } else {
+            findings.vanished.emplace_back(it.first, std::move(it.second));
+        }
     }
-    m_runs.clear();
+    m_runs = std::move(underway);
     m_lastEnd = 0;
     acknowledged = 0;
     m_hasClock = false;
--- a/lib/Dispatch/TargetLedger.h
+++ b/lib/Dispatch/TargetLedger.h
@@ -54,6 +54,7 @@
     std::vector<End> ended;
     std::vector<std::pair<RunName, LedgerRun>> vanished; ///< Neither at work nor listed as ended.
     std::vector<RunName> unknown; ///< At work, but not ordered by this owner; now in the ledger as stopping.
+    std::vector<RunName> unsure; ///< Their start orders were under way when the target started again.
     bool restarted = false; ///< The target is another incarnation; nothing of before is at work.
 };
 
@@ -63,8 +64,8 @@
 public:
     explicit TargetLedger(DispatchTarget target, FencingToken token);
 
-    /// Takes in a newer description. @returns whether the target started again, so that its runs are gone.
-    bool update(const DispatchTarget &target);
+    /// Takes in a newer description. @returns what follows if it tells that the target started again.
+    ReportFindings update(const DispatchTarget &target);
     /// Owner's token rose: the target has to be inspected under it before it gets work.
     void renewToken(FencingToken token);
 
--- a/lib/Dispatch/ZoneOwnership.cpp
+++ b/lib/Dispatch/ZoneOwnership.cpp
@@ -136,6 +136,18 @@
     m_othersPresent = false;
 }
 
+void ZoneOwnership::fenced(FencingToken token, Instant now)
+{
+    if (!m_token || m_token->value > token.value) {
+        return;
+    }
+    // If the group still assigns the zone to this member, the next answer brings a newer generation.
+    m_token.reset();
+    m_pendingGeneration = 0;
+    m_memberSince = now;
+    m_nextRenewAt = now;
+}
+
 void ZoneOwnership::answerLost(Instant now)
 {
     m_inFlight = false;
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -156,6 +156,15 @@
     m_log.runDecided(decision, run, target, detail, m_now);
 }
 
+void DispatchNode::Impl::tokenFenced(FencingToken token, const TargetName &target)
+{
+    m_log.changed("token fenced", { { "token", token.value }, { "target", target.value } });
+    m_local.emplace_back([this, token] {
+        m_ownership.fenced(token, m_now);
+        applyOwnership();
+    });
+}
+
 void DispatchNode::Impl::targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail)
 {
     m_log.targetChanged(change, target, detail, m_now);
--- /dev/null
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -0,0 +1,339 @@
+/// @file
+/// Fake targets, and the checks of what they saw.
+#include "FakeFleet.h"
+
+#include <algorithm>
+
+namespace Eelgrasscleat
+{
+
+namespace
+{
+
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(300);
+constexpr TargetTime kLongestLease { 1000 };
+
+bool happens(RandomSource &random, double share)
+{
+    return std::uniform_real_distribution<double>(0, 1)(random) < share;
+}
+
+std::string text(const RunName &run)
+{
+    return run.task.job.value + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + '/'
+        + std::to_string(run.run);
+}
+
+} // namespace
+
+void EventQueue::at(Instant when, std::function<void()> event)
+{
+    m_events.emplace(std::max(when, m_now), std::move(event));
+}
+
+void EventQueue::after(Duration delay, std::function<void()> event)
+{
+    at(m_now + delay, std::move(event));
+}
+
+void EventQueue::runUntil(Instant end)
+{
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+        const auto event = std::move(m_events.begin()->second);
+        m_now = m_events.begin()->first;
+        m_events.erase(m_events.begin());
+        event();
+    }
+    m_now = end;
+}
+
+FakeTarget::FakeTarget(DispatchTarget info, double slowness, double clockRate)
+    : description(std::move(info))
+    , m_slowness(slowness)
+    , m_clockRate(clockRate)
+{
+}
+
+TargetTime FakeTarget::clock(Instant now) const
+{
+    const auto age = std::chrono::duration<double, std::milli>(now - m_startedAt) * m_clockRate;
+    return std::chrono::duration_cast<TargetTime>(age);
+}
+
+void FakeTarget::end(const RunName &run, RunEndKind kind)
+{
+    m_ends.push_back({ ++m_lastEnd, run, kind });
+    std::uint32_t &highest = m_highestEnded[run.task];
+    highest = std::max(highest, run.run);
+}
+
+void FakeTarget::advance(Instant now)
+{
+    const bool lapsed = clock(now) >= m_leaseEnd;
+    for (auto it = running.begin(); it != running.end();) {
+        const bool isDone = !hangs && it->second.doneAt <= now;
+        if (isDone || lapsed) {
+            const RunEndKind kind = failsAll ? RunEndKind::Failed : RunEndKind::Done;
+            end(it->first, isDone ? kind : RunEndKind::Lapsed);
+            it = running.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void FakeTarget::restart(Instant now)
+{
+    running.clear();
+    m_ends.clear();
+    m_highestEnded.clear();
+    m_lastEnd = 0;
+    m_fence = 0;
+    m_leaseEnd = TargetTime(0);
+    m_startedAt = now;
+    ++description.incarnation;
+}
+
+OrderResult FakeTarget::start(const StartOrder &order, Duration work, Instant now)
+{
+    advance(now);
+    OrderResult result { OrderAnswer::Accepted, clock(now), true };
+    if (order.token.value < m_fence) {
+        result.answer = OrderAnswer::Fenced;
+        return result;
+    }
+    m_fence = order.token.value;
+    if (running.count(order.run) > 0) {
+        return result;
+    }
+    if (order.leaseEnd <= clock(now)) {
+        result.answer = OrderAnswer::LeaseOver;
+        return result;
+    }
+    m_leaseEnd = std::max(m_leaseEnd, std::min(order.leaseEnd, clock(now) + kLongestLease));
+    const auto highest = m_highestEnded.find(order.run.task);
+    if (highest != m_highestEnded.end() && order.run.run <= highest->second) {
+        result.answer = OrderAnswer::OldRun;
+        return result;
+    }
+    running[order.run] = { {}, now + std::chrono::duration_cast<Duration>(work * m_slowness) };
+    m_begun[order.run] = now;
+    return result;
+}
+
+OrderResult FakeTarget::stop(FencingToken token, const RunName &run, Instant now)
+{
+    advance(now);
+    OrderResult result { OrderAnswer::Accepted, clock(now), true };
+    if (token.value < m_fence) {
+        result.answer = OrderAnswer::Fenced;
+        return result;
+    }
+    m_fence = token.value;
+    if (running.erase(run) > 0) {
+        end(run, RunEndKind::Stopped);
+    } else {
+        std::uint32_t &highest = m_highestEnded[run.task];
+        highest = std::max(highest, run.run);
+    }
+    return result;
+}
+
+OrderResult FakeTarget::inspect(const InspectOrder &order, TargetReport &report, Instant now)
+{
+    advance(now);
+    OrderResult result { OrderAnswer::Accepted, clock(now), true };
+    if (order.token.value < m_fence) {
+        result.answer = OrderAnswer::Fenced;
+        return result;
+    }
+    m_fence = order.token.value;
+    std::erase_if(m_ends, [&order](const ListedEnd &it) { return it.number <= order.acknowledged; });
+    if (order.renew) {
+        m_leaseEnd = std::max(m_leaseEnd, std::min(order.leaseEnd, clock(now) + kLongestLease));
+    }
+    report.incarnation = description.incarnation;
+    report.ended = m_ends;
+    for (const auto &it : running) {
+        const Instant begun = m_begun[it.first];
+        const double done = static_cast<double>((now - begun).count())
+            / static_cast<double>(std::max<Duration::rep>(1, (it.second.doneAt - begun).count()));
+        report.running.push_back({ it.first, hangs ? 0 : 100 * done });
+    }
+    return result;
+}
+
+FakeFleet::FakeFleet(EventQueue &queue, std::uint64_t seed)
+    : random(seed)
+    , m_queue(queue)
+{
+}
+
+void FakeFleet::addTargets(std::size_t count)
+{
+    constexpr double kSlowness[] = { 1.6, 1.0, 0.6 };
+    for (std::size_t i = 0; i < count; ++i) {
+        DispatchTarget target;
+        target.name = TargetName("target-" + std::to_string(i));
+        target.service = ServiceName("service");
+        target.zone = ZoneName("zone");
+        target.capacity = { 32000, 65536, 0 };
+        target.incarnation = 1;
+        const double clockRate = 1 - 0.02 * static_cast<double>(i % 2);
+        targets.emplace_back(target, kSlowness[i % 3], clockRate);
+    }
+}
+
+void FakeFleet::expectTask(const TaskName &task, const ResourceDemand &demand, Duration work)
+{
+    m_tasks[task] = { demand, work };
+}
+
+void FakeFleet::check()
+{
+    std::map<TaskName, int> atWork;
+    for (FakeTarget &target : targets) {
+        target.advance(m_queue.now());
+        std::uint32_t used = 0;
+        for (const auto &it : target.running) {
+            used += it.second.demand.milliCores;
+            if (++atWork[it.first.task] > 1) {
+                m_violations.push_back("at work twice: " + text(it.first));
+            }
+        }
+        if (used > target.description.capacity.milliCores) {
+            m_violations.push_back("over capacity: " + target.description.name.value);
+        }
+    }
+}
+
+FakeTarget *FakeOrders::find(const TargetName &name)
+{
+    const auto it = std::find_if(m_fleet.targets.begin(), m_fleet.targets.end(), [&name](const FakeTarget &target) {
+        return target.description.name == name;
+    });
+    return it == m_fleet.targets.end() ? nullptr : &*it;
+}
+
+void FakeOrders::deliver(std::function<void()> event)
+{
+    if (frozen) {
+        m_waiting.push_back(std::move(event));
+    } else {
+        event();
+    }
+}
+
+void FakeOrders::thaw()
+{
+    frozen = false;
+    const auto waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (const auto &it : waiting) {
+        it();
+    }
+}
+
+void FakeOrders::carry(const std::function<OrderResult(FakeTarget &)> &order,
+                       const TargetName &target,
+                       Duration answerTimeout,
+                       std::function<void(const OrderResult &)> answer)
+{
+    RandomSource &random = m_fleet.random;
+    const Duration there = std::chrono::microseconds(100 + drawBelow(random, 2000));
+    const Duration back = std::chrono::microseconds(100 + drawBelow(random, 2000));
+    const auto unanswered = [this, answerTimeout, answer] {
+        m_queue.after(answerTimeout, [this, answer] { deliver([answer] { answer({}); }); });
+    };
+    const auto execute = [this, order, target]() -> OrderResult {
+        FakeTarget *found = find(target);
+        const OrderResult result = found != nullptr ? order(*found) : OrderResult {};
+        m_fleet.check();
+        return result;
+    };
+    if (cutOff || happens(random, m_fleet.faults.lost)) {
+        unanswered();
+        return;
+    }
+    if (happens(random, m_fleet.faults.late)) {
+        unanswered();
+        // The target has taken the order and holds it back: it is gone with the target's incarnation.
+        const FakeTarget *taker = find(target);
+        const std::uint64_t incarnation = taker != nullptr ? taker->description.incarnation : 0;
+        m_queue.after(std::chrono::milliseconds(2000 + drawBelow(random, 10000)), [this, execute, target, incarnation] {
+            const FakeTarget *found = find(target);
+            if (found != nullptr && found->description.incarnation == incarnation) {
+                execute();
+            }
+        });
+        return;
+    }
+    const bool answerLost = happens(random, m_fleet.faults.answerLost);
+    if (answerLost) {
+        unanswered();
+    }
+    m_queue.after(there, [this, execute, answer, back, answerLost] {
+        const OrderResult result = execute();
+        if (!answerLost) {
+            m_queue.after(back, [this, answer, result] { deliver([answer, result] { answer(result); }); });
+        }
+    });
+}
+
+void FakeOrders::start(const StartOrder &order)
+{
+    const auto task = m_fleet.m_tasks.find(order.run.task);
+    if (task == m_fleet.m_tasks.end()) {
+        m_fleet.m_violations.push_back("nobody asked for " + text(order.run));
+        return;
+    }
+    const FakeFleet::Task known = task->second;
+    StartOrder copy = order;
+    copy.payload = nullptr;
+    carry(
+        [this, copy, known](FakeTarget &target) {
+            const bool was = target.running.count(copy.run) > 0;
+            const OrderResult result = target.start(copy, known.work, m_queue.now());
+            if (!was && result.answer == OrderAnswer::Accepted) {
+                target.running[copy.run].demand = known.demand;
+                m_fleet.m_startedJobs.insert(copy.run.task.job);
+            }
+            return result;
+        },
+        order.target.name,
+        kOrderTimeout,
+        [this, copy](const OrderResult &result) {
+            dispatcher->startAnswered(copy.target.name, copy.run, result, m_queue.now());
+        });
+}
+
+void FakeOrders::stop(const StopOrder &order)
+{
+    carry([this, order](FakeTarget &target) { return target.stop(order.token, order.run, m_queue.now()); },
+          order.target.name,
+          kOrderTimeout,
+          [this, order](const OrderResult &result) {
+              dispatcher->stopAnswered(order.target.name, order.run, result, m_queue.now());
+          });
+}
+
+void FakeOrders::inspect(const InspectOrder &order)
+{
+    // A real target answers when a run ends; here it answers at once, and the next inspection follows in 10 ms.
+    auto report = std::make_shared<TargetReport>();
+    const Duration pause = order.wait.count() > 0 ? Duration(std::chrono::milliseconds(10)) : Duration(0);
+    m_queue.after(pause, [this, order, report] {
+        carry([this, order, report](FakeTarget &target) { return target.inspect(order, *report, m_queue.now()); },
+              order.target.name,
+              order.wait + kOrderTimeout,
+              [this, order, report](const OrderResult &result) {
+                  if (result.answer == OrderAnswer::Accepted) {
+                      dispatcher->inspected(order.target.name, *report, result, m_queue.now());
+                  } else {
+                      dispatcher->inspectionFailed(order.target.name, result, m_queue.now());
+                  }
+              });
+    });
+}
+
+} // namespace Eelgrasscleat
--- /dev/null
+++ b/unittests/Dispatch/OwnerScheduleTest.cpp
@@ -0,0 +1,285 @@
+/// @file
+/// Fixed-seed schedules of two owners of the same targets under lost, late and reordered orders, freezes, cuts, and
+/// targets that restart. What the targets recorded is checked at every order: no room exceeded, no task at work twice,
+/// nothing that nobody asked for, and every refusal true.
+#include "FakeFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+
+namespace Eelgrasscleat
+{
+
+namespace
+{
+
+/// Time after which a caller whose job got no end, or may have run, submits it again.
+constexpr Duration kResubmitDelay = std::chrono::milliseconds(1300);
+constexpr Duration kHomeSilence = std::chrono::milliseconds(600);
+constexpr Duration kTakeover = std::chrono::milliseconds(1200);
+constexpr Duration kDeadline = std::chrono::milliseconds(2500);
+
+const InstanceName kHome("home");
+
+} // namespace
+
+/// One owner with the home's view of it.
+class Owner : public DispatcherObserver
+{
+public:
+    Owner(FakeFleet &fleet, EventQueue &queue)
+        : orders(fleet, queue)
+        , dispatcher(DispatcherPolicy(), orders, *this)
+    {
+        orders.dispatcher = &dispatcher;
+    }
+
+    void jobEnded(const InstanceName &, const JobEnd &end) override
+    {
+        if (ended) {
+            ended(end);
+        }
+    }
+    void runDecided(std::string_view, const RunName &, const TargetName &, double) override
+    {
+    }
+    void tokenFenced(FencingToken, const TargetName &) override
+    {
+    }
+    void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
+    {
+    }
+
+    std::function<void(const JobEnd &)> ended;
+    FakeOrders orders;
+    Dispatcher dispatcher;
+    bool reachable = true; ///< The home and it hear each other.
+};
+
+/// One schedule.
+class OwnerSchedule
+{
+public:
+    explicit OwnerSchedule(std::uint64_t seed)
+        : m_fleet(m_queue, seed)
+        , m_first(m_fleet, m_queue)
+        , m_second(m_fleet, m_queue)
+    {
+        m_fleet.addTargets(6);
+        m_first.ended = [this](const JobEnd &end) { jobEnded(m_first, end); };
+        m_second.ended = [this](const JobEnd &end) { jobEnded(m_second, end); };
+    }
+
+    FakeFleet &fleet()
+    {
+        return m_fleet;
+    }
+
+    void run()
+    {
+        own(m_first, FencingToken(1));
+        m_owner = &m_first;
+        tick(m_first);
+        tick(m_second);
+        for (int i = 0; i < 60; ++i) {
+            m_queue.after(std::chrono::milliseconds(100 + i * 100), [this, i] { submitNew(i); });
+        }
+        scheduleTrouble();
+        m_queue.runUntil(m_queue.now() + std::chrono::seconds(25));
+        for (const auto &it : m_jobs) {
+            if (it.second.onlyRefused && it.second.ends > 0 && m_fleet.hasStarted(it.first)) {
+                falseRefusals.push_back(it.first.value);
+            }
+        }
+    }
+
+    std::vector<std::string> falseRefusals;
+    std::size_t completed = 0;
+
+private:
+    struct Job
+    {
+        JobRequest request;
+        std::uint64_t ticket = 0;
+        Owner *owner = nullptr;
+        bool open = false;
+        bool onlyRefused = true;
+        int ends = 0;
+    };
+
+    void own(Owner &owner, FencingToken token)
+    {
+        for (const FakeTarget &it : m_fleet.targets) {
+            owner.dispatcher.targetOwned(it.description, token, m_queue.now());
+        }
+    }
+
+    void tick(Owner &owner)
+    {
+        if (!owner.orders.frozen) {
+            if (owner.reachable) {
+                owner.dispatcher.homeHeard(kHome, m_queue.now());
+            }
+            owner.dispatcher.advance(m_queue.now());
+        }
+        m_queue.after(std::chrono::milliseconds(40), [this, &owner] { tick(owner); });
+    }
+
+    void submitNew(int number)
+    {
+        RandomSource &random = m_fleet.random;
+        JobRequest request;
+        request.id = JobId("job" + std::to_string(number));
+        request.route = RouteName("route");
+        request.service = ServiceName("service");
+        request.payload = "payload";
+        request.attempts = 2;
+        request.stretch = 1.6;
+        request.latencyTarget = std::chrono::milliseconds(600);
+        JobStep step;
+        step.tasks = 1 + static_cast<std::uint32_t>(drawBelow(random, 5));
+        step.demand = { 9000 + static_cast<std::uint32_t>(drawBelow(random, 9000)), 64, 0 };
+        step.estimate = std::chrono::milliseconds(60 + drawBelow(random, 600));
+        request.steps.push_back(step);
+        for (std::uint32_t i = 0; i < step.tasks; ++i) {
+            m_fleet.expectTask({ request.id, 0, i }, step.demand, step.estimate);
+        }
+        m_jobs[request.id].request = request;
+        submit(request.id);
+    }
+
+    void submit(const JobId &id)
+    {
+        Job &job = m_jobs[id];
+        Owner &owner = *m_owner;
+        if (!owner.reachable || owner.orders.frozen) {
+            m_queue.after(kResubmitDelay, [this, id] { submit(id); });
+            return;
+        }
+        job.open = true;
+        job.owner = &owner;
+        job.ticket = ++m_lastTicket;
+        JobRequest request = job.request;
+        request.submitted = m_queue.now();
+        request.deadline = m_queue.now() + kDeadline;
+        owner.dispatcher.homeHeard(kHome, m_queue.now());
+        owner.dispatcher.submit({ kHome, job.ticket }, std::move(request), m_queue.now());
+    }
+
+    void jobEnded(Owner &owner, const JobEnd &end)
+    {
+        Job &job = m_jobs[end.id];
+        if (!job.open || job.owner != &owner || job.ticket != end.ticket || !owner.reachable) {
+            return;
+        }
+        job.open = false;
+        ++job.ends;
+        job.onlyRefused = job.onlyRefused && end.outcome == JobOutcome::Refused;
+        completed += end.outcome == JobOutcome::Complete ? 1 : 0;
+        if (end.outcome == JobOutcome::Abandoned || end.outcome == JobOutcome::Expired) {
+            m_queue.after(kResubmitDelay, [this, id = end.id] { submit(id); });
+        }
+    }
+
+    /// The home has not heard the owner for too long: its callers are told, and come again.
+    void giveUp(Owner &owner)
+    {
+        for (auto &it : m_jobs) {
+            if (it.second.open && it.second.owner == &owner) {
+                it.second.open = false;
+                it.second.onlyRefused = false;
+                m_queue.after(kResubmitDelay, [this, id = it.first] { submit(id); });
+            }
+        }
+    }
+
+    void scheduleTrouble()
+    {
+        RandomSource &random = m_fleet.random;
+        const auto when = [&random] { return std::chrono::milliseconds(500 + drawBelow(random, 5000)); };
+        const std::uint64_t kind = drawBelow(random, 4);
+        m_queue.after(when(), [this, kind] { loseOwner(kind); });
+        m_queue.after(when(), [this] {
+            m_fleet.targets[drawBelow(m_fleet.random, m_fleet.targets.size())].restart(m_queue.now());
+        });
+        m_queue.after(when(), [this] { m_fleet.targets[0].hangs = true; });
+        m_queue.after(when(), [this] { m_fleet.targets[1].failsAll = true; });
+    }
+
+    /// The first owner freezes, is cut off from its home, from the targets, or loses the group without notice.
+    void loseOwner(std::uint64_t kind)
+    {
+        if (kind == 0) {
+            m_first.orders.frozen = true;
+            m_queue.after(std::chrono::milliseconds(4000), [this] {
+                // As the instance does after a standstill: what is old goes before anything is read.
+                m_first.dispatcher.homeLost(kHome, m_queue.now());
+                m_first.orders.thaw();
+            });
+        } else if (kind == 1) {
+            m_first.reachable = false;
+        } else if (kind == 2) {
+            m_first.orders.cutOff = true;
+            m_first.reachable = false;
+        }
+        const bool robbed = kind == 3;
+        if (!robbed) {
+            m_queue.after(kHomeSilence, [this] { giveUp(m_first); });
+        }
+        m_queue.after(robbed ? Duration(0) : kTakeover, [this] {
+            own(m_second, FencingToken(2));
+            m_owner = &m_second;
+        });
+    }
+
+    EventQueue m_queue;
+    FakeFleet m_fleet;
+    Owner m_first;
+    Owner m_second;
+    Owner *m_owner = nullptr;
+    std::map<JobId, Job> m_jobs;
+    std::uint64_t m_lastTicket = 0;
+};
+
+class OwnerScheduleTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OwnerScheduleTest);
+    CPPUNIT_TEST(orders_lostAndLate_promisesHold);
+    CPPUNIT_TEST(orders_allAnswered_jobsComplete);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void orders_lostAndLate_promisesHold()
+    {
+        constexpr std::uint64_t kSeeds = 1000;
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            OwnerSchedule schedule(seed);
+            schedule.fleet().faults = { 0.02, 0.03, 0.05 };
+            schedule.run();
+            const std::string where = "seed " + std::to_string(seed) + ": ";
+            const auto &violations = schedule.fleet().violations();
+            CPPUNIT_ASSERT_MESSAGE(where + (violations.empty() ? "" : violations.front()), violations.empty());
+            CPPUNIT_ASSERT_MESSAGE(where + "refused, though it had run", schedule.falseRefusals.empty());
+        }
+    }
+
+    void orders_allAnswered_jobsComplete()
+    {
+        constexpr std::uint64_t kSeeds = 50;
+        std::size_t completed = 0;
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            OwnerSchedule schedule(seed);
+            schedule.run();
+            CPPUNIT_ASSERT(schedule.fleet().violations().empty());
+            completed += schedule.completed;
+        }
+        // Sixty jobs a schedule, one owner lost in each: most are to be complete in the end.
+        CPPUNIT_ASSERT_GREATER(kSeeds * 60 * 7 / 10, static_cast<std::uint64_t>(completed));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnerScheduleTest);
+
+} // namespace Eelgrasscleat
