--- /dev/null
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -0,0 +1,186 @@
+/// @file
+/// The client of the store against the stand-in: nothing is missed over gaps and outages, nothing is asked without end.
+#include "StoreClient.h"
+#include "StoreStandIn.h"
+
+#include "../Wire/EventLoop.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Eelgrasscleat::PlatformAdapter
+{
+
+class StoreClientTest : public CppUnit::TestFixture, public StoreEvents
+{
+    CPPUNIT_TEST_SUITE(StoreClientTest);
+    CPPUNIT_TEST(start_configurationThere_read);
+    CPPUNIT_TEST(write_afterStart_read);
+    CPPUNIT_TEST(forget_whileAway_listedAgain);
+    CPPUNIT_TEST(store_refusesThenServes_lostThenRegained);
+    CPPUNIT_TEST(target_damagedEntry_rejectedOthersRead);
+    CPPUNIT_TEST(membership_zonePartitionListed_holdsZone);
+    CPPUNIT_TEST(membership_storeSilent_errorInTime);
+    CPPUNIT_TEST(announce_storeRefuses_writtenLater);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        EventLoop::prepare();
+        m_stand = std::make_unique<StoreStandIn>();
+        NodeFile file;
+        file.node.self = { InstanceName("front-1"), ZoneName("zone"), "127.0.0.1", 7720 };
+        file.store = { "127.0.0.1", m_stand->port };
+        file.storePartitions = 16;
+        m_client = std::make_unique<StoreClient>(file, *this, 1);
+    }
+
+    void tearDown() override
+    {
+        m_client.reset();
+        m_stand.reset();
+    }
+
+    void start_configurationThere_read()
+    {
+        writeConfiguration(3);
+        m_client->start();
+        EventLoop::waitFor([this] { return m_version == 3; });
+    }
+
+    void write_afterStart_read()
+    {
+        m_client->start();
+        EventLoop::waitFor([this] { return m_stand->lists >= 2; });
+        writeConfiguration(4);
+        EventLoop::waitFor([this] { return m_version == 4; });
+    }
+
+    void forget_whileAway_listedAgain()
+    {
+        writeConfiguration(3);
+        m_client->start();
+        EventLoop::waitFor([this] { return m_version == 3; });
+        m_stand->refuses = true;
+        writeConfiguration(5);
+        m_stand->forget("keyed.op");
+        m_stand->refuses = false;
+        EventLoop::waitFor([this] { return m_version == 5; });
+    }
+
+    void store_refusesThenServes_lostThenRegained()
+    {
+        m_stand->refuses = true;
+        m_client->start();
+        EventLoop::waitFor([this] { return m_lost == 1; });
+        writeConfiguration(6);
+        m_stand->refuses = false;
+        EventLoop::waitFor([this] { return m_version == 6 && m_regained == 1; });
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("one event for each change", 1, m_lost);
+    }
+
+    void target_damagedEntry_rejectedOthersRead()
+    {
+        m_stand->write("keyed.servers", { "i-1", QByteArray("\xff not JSON") });
+        m_stand->write("keyed.servers", { "i-2", targetEntry() });
+        m_client->followTargets(true);
+        EventLoop::waitFor([this] { return m_listed.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), m_listed.front().name.value);
+        CPPUNIT_ASSERT_EQUAL(1, m_rejected);
+    }
+
+    void membership_zonePartitionListed_holdsZone()
+    {
+        m_stand->groupAnswer = R"({"generation":7,"ttl-ms":1200,"parts":[["zone.zone",3,0],["zone.zone",0,5]]})";
+        const auto answer = renew();
+        const auto &membership = std::get<MembershipAnswer>(answer);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, membership.generation);
+        CPPUNIT_ASSERT(membership.holdsZone);
+        CPPUNIT_ASSERT(!membership.isAlone);
+        CPPUNIT_ASSERT(m_stand->groupCalls.front().find("front-1") != std::string::npos);
+    }
+
+    void membership_storeSilent_errorInTime()
+    {
+        m_stand->silent = true;
+        const auto answer = renew();
+        CPPUNIT_ASSERT(std::get<Error>(answer).code == ErrorCode::Lost);
+        CPPUNIT_ASSERT(std::get<Error>(answer).step == Step::Claim);
+    }
+
+    void announce_storeRefuses_writtenLater()
+    {
+        m_stand->refuses = true;
+        m_client->announce({ InstanceName("front-1"), ZoneName("zone"), "127.0.0.1", 7720 });
+        m_client->start();
+        EventLoop::waitFor([this] { return m_lost == 1; });
+        m_stand->refuses = false;
+        EventLoop::waitFor([this] { return m_instances == 1; });
+    }
+
+private:
+    void configurationRead(FleetConfiguration configuration) override
+    {
+        m_version = configuration.version.value;
+    }
+    void targetRead(const DispatchTarget &) override
+    {
+    }
+    void targetVanished(const TargetName &) override
+    {
+    }
+    void targetsListed(const std::vector<DispatchTarget> &targets) override
+    {
+        m_listed = targets;
+    }
+    void instanceRead(const AnnouncedInstance &) override
+    {
+        ++m_instances;
+    }
+    void instanceVanished(const InstanceName &) override
+    {
+    }
+    void recordRejected(const Error &) override
+    {
+        ++m_rejected;
+    }
+    void storeReachable(bool reachable, const std::string &) override
+    {
+        ++(reachable ? m_regained : m_lost);
+    }
+
+    void writeConfiguration(int version)
+    {
+        const QByteArray value = "{\"version\":" + QByteArray::number(version) + R"(,"routes":[],"limits":{}})";
+        m_stand->write("keyed.op", { "config", value });
+    }
+
+    static QByteArray targetEntry()
+    {
+        return R"({"service":"s","addr":"127.0.0.1:1","zone":"zone","state":"ready",
+            "capacity":{"cpu":1000,"mem-mb":64},"labels":[]})";
+    }
+
+    Result<MembershipAnswer> renew()
+    {
+        std::optional<Result<MembershipAnswer>> answer;
+        m_client->renewMembership(0, std::chrono::milliseconds(200), [&answer](Result<MembershipAnswer> result) {
+            answer = std::move(result);
+        });
+        EventLoop::waitFor([&answer] { return answer.has_value(); });
+        return *answer;
+    }
+
+    std::unique_ptr<StoreStandIn> m_stand;
+    std::unique_ptr<StoreClient> m_client;
+    std::uint64_t m_version = 0;
+    std::vector<DispatchTarget> m_listed;
+    int m_rejected = 0;
+    int m_instances = 0;
+    int m_lost = 0;
+    int m_regained = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreClientTest);
+
+} // namespace Eelgrasscleat::PlatformAdapter
