A standstill is recovered from without touching connections from inside their signals

The crash has a cause of its own: an instance that wakes from a freeze resets its peers' connections from inside the message handler of one of them, and frees the object whose function is running. Also, the messages that waited in that connection were acted on first. Change: resetConnections() marks connections as ended and closes them from the event loop; what woke the instance is dropped. PeerNetworkTest.resetConnections_fromHandler_deliversNothingMore crashes on the former code. Ruled out: abortAll() of callers, which has always closed through the sockets.

--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -58,7 +58,8 @@
 }
 
 /// Begins the handling of an event: takes the time, and notices a standstill before anything old is acted on.
-void DispatchNode::Impl::enter()
+/// @returns whether what peers and callers sent is still to be acted on.
+bool DispatchNode::Impl::enter()
 {
     const Instant now = suspendAwareNow();
     const Duration gap = now - m_now;
@@ -67,6 +68,7 @@
     if (stoodStill) {
         recoverFromStandstill(gap);
     }
+    return !stoodStill;
 }
 
 /// Others have given up on this instance meanwhile: callers submit again elsewhere, runs have lapsed. What waits in the
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -52,7 +52,7 @@
     void inspectionFailed(const TargetName &target, const OrderResult &result) override;
 
     // What peers do.
-    void peerHeard(const InstanceName &peer) override;
+    bool peerHeard(const InstanceName &peer) override;
     void peerStatus(const InstanceName &peer, const ZoneName &zone, bool owner, const DispatcherLoad &load) override;
     void sessionEnded(const InstanceName &peer, const std::string &why) override;
     void peerSubmitted(const InstanceName &peer, std::uint64_t ticket, JobRequest request) override;
@@ -81,7 +81,7 @@
         Instant at;
     };
 
-    void enter();
+    bool enter();
     void settle();
     void advance();
     void recoverFromStandstill(Duration gap);
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -9,7 +9,9 @@
 
 void DispatchNode::Impl::requestArrived(CallerRequest request)
 {
-    enter();
+    if (!enter()) {
+        return; // Its connection has just been closed, with all others.
+    }
     const FleetRoute *route = m_configuration.match(request.host, request.path);
     JobId id;
     if (route != nullptr) {
@@ -198,10 +200,13 @@
     settle();
 }
 
-void DispatchNode::Impl::peerHeard(const InstanceName &peer)
+bool DispatchNode::Impl::peerHeard(const InstanceName &peer)
 {
-    enter();
+    if (!enter()) {
+        return false;
+    }
     m_dispatcher.homeHeard(peer, m_now);
+    return true;
 }
 
 void DispatchNode::Impl::peerStatus(const InstanceName &peer,
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -204,6 +204,10 @@
         return; // Not announced yet; it says all again when it is.
     }
     Peer &peer = it->second;
+    if (!m_events.peerHeard(name)) {
+        return;
+    }
+    peer.heardAt = suspendAwareNow();
     if (message.from_incarnation() != peer.heardIncarnation) {
         peer.heardIncarnation = message.from_incarnation();
         peer.heardSession = 0;
@@ -212,8 +216,6 @@
     if (message.kind_case() != schema::PeerMessage::kDispatchStatus && peer.heardSession == 0) {
         return; // Of a session whose beginning was lost.
     }
-    peer.heardAt = suspendAwareNow();
-    m_events.peerHeard(name);
     switch (message.kind_case()) {
     case schema::PeerMessage::kDispatchStatus:
         statusArrived(name, peer, message.dispatch_status());
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -27,7 +27,8 @@
 public:
     virtual ~PeerEvents() = default;
     /// A message of a peer arrived; comes before the more specific events.
-    virtual void peerHeard(const InstanceName &peer) = 0;
+    /// @returns false if it is too old to be acted on.
+    virtual bool peerHeard(const InstanceName &peer) = 0;
     virtual void peerStatus(const InstanceName &peer, const ZoneName &zone, bool owner, const DispatcherLoad &load) = 0;
     /// The session with a peer ended.
     virtual void sessionEnded(const InstanceName &peer, const std::string &why) = 0;
--- a/lib/Wire/PeerNetwork.cpp
+++ b/lib/Wire/PeerNetwork.cpp
@@ -57,10 +57,12 @@
         return m_endpoint;
     }
 
+    /// Breaks the connection from the event loop: the caller may be inside one of its signals.
     void reset()
     {
         m_wait = m_timing.shortestReconnect;
-        broke();
+        QMetaObject::invokeMethod(
+            &m_context, [this] { broke(); }, Qt::QueuedConnection);
     }
 
     [[nodiscard]] bool isFlushed() const
@@ -174,7 +176,7 @@
         m_framer.add(bytes);
         schema::PeerMessage message;
         FrameRead read = m_framer.take(message);
-        while (read == FrameRead::Message) {
+        while (read == FrameRead::Message && !m_ended) {
             m_handler.peerMessageArrived(std::move(message));
             message.Clear();
             read = m_framer.take(message);
@@ -190,6 +192,13 @@
         m_ended = true;
     }
 
+    /// Delivers nothing more, and closes from the event loop: the caller may be inside one of its signals.
+    void reset()
+    {
+        m_ended = true;
+        QMetaObject::invokeMethod(m_socket, &QAbstractSocket::abort, Qt::QueuedConnection);
+    }
+
     [[nodiscard]] bool hasEnded() const
     {
         return m_ended;
@@ -255,9 +264,8 @@
     void resetConnections()
     {
         for (const auto &it : m_incoming) {
-            m_receivedByEnded += it->bytesReceived();
+            it->reset();
         }
-        m_incoming.clear();
         for (const auto &it : m_outgoing) {
             it.second->reset();
         }
--- a/unittests/Wire/PeerNetworkTest.cpp
+++ b/unittests/Wire/PeerNetworkTest.cpp
@@ -10,6 +10,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <vector>
 
 namespace Eelgrasscleat
@@ -22,11 +23,15 @@
     void peerMessageArrived(schema::PeerMessage message) override
     {
         messages.push_back(std::move(message));
+        if (onMessage) {
+            onMessage();
+        }
     }
 
     void peerStreamChanged(const InstanceName &, bool up) override
     {
         isUp = up;
+        streams += up ? 1 : 0;
     }
 
     void peerMessageDropped(const InstanceName &) override
@@ -40,6 +45,8 @@
     }
 
     std::vector<schema::PeerMessage> messages;
+    std::function<void()> onMessage;
+    int streams = 0; ///< Times that a stream came up.
     bool isUp = false;
     int dropped = 0;
     int errors = 0;
@@ -53,6 +60,8 @@
     CPPUNIT_TEST(send_peerAway_dropsAndCounts);
     CPPUNIT_TEST(send_peerRestarted_connectsAgain);
     CPPUNIT_TEST(receive_garbage_harmsNoOtherPeer);
+    CPPUNIT_TEST(resetConnections_fromHandler_deliversNothingMore);
+    CPPUNIT_TEST(setPeers_peerRemoved_disconnectsIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +137,28 @@
         EventLoop::waitFor([this] { return m_receiverHandler.messages.size() == 1; });
     }
 
+    void resetConnections_fromHandler_deliversNothingMore()
+    {
+        m_receiverHandler.onMessage = [this] { m_receiver->resetConnections(); };
+        for (std::uint64_t i = 0; i < 100; ++i) {
+            m_sender->send(m_peer, numbered(i));
+        }
+        EventLoop::waitFor([this] { return m_senderHandler.streams == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_receiverHandler.messages.size());
+        m_receiverHandler.onMessage = {};
+        m_sender->send(m_peer, numbered(200));
+        EventLoop::waitFor([this] { return m_receiverHandler.messages.size() == 2; });
+    }
+
+    void setPeers_peerRemoved_disconnectsIt()
+    {
+        m_sender->setPeers({});
+        m_sender->send(m_peer, numbered(1));
+        CPPUNIT_ASSERT_EQUAL(1, m_senderHandler.dropped);
+        m_sender->setPeers({ PeerEndpoint { m_peer, "127.0.0.1", m_port } });
+        EventLoop::waitFor([this] { return m_senderHandler.streams == 2; });
+    }
+
 private:
     void startReceiver(std::uint16_t port)
     {
