--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -196,12 +196,13 @@
 bool Dispatcher::Impl::placeTasks(BoardJob &job, Instant now)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        const Duration run = m_board.expectedRun(job.request.route, job.request.steps[step]);
         for (std::uint32_t i = 0; i < job.steps[step].size(); ++i) {
             if (job.steps[step][i].state != TaskState::Ready) {
                 continue;
             }
             const TaskName task { job.request.id, step, i };
-            OwnedTarget *target = m_chooser.choose(job, task, now);
+            OwnedTarget *target = m_chooser.choose(job, task, run, now);
             if (target == nullptr) {
                 return false;
             }
--- a/lib/Dispatch/TargetChooser.cpp
+++ b/lib/Dispatch/TargetChooser.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// Choice by expected end: the fastest target with room, less preferred where the task failed before.
+/// Choice by expected end: the slowest target on which the task still meets its job's objective, so that fast ones stay
+/// free for tasks that need them; the fastest one where none does.
 #include "TargetChooser.h"
 
 #include <algorithm>
@@ -15,6 +16,12 @@
 /// Weight of room left unused against speed: half a percent of run time for each free core keeps large gaps for wide
 /// tasks without giving up a speed class, which differ by 40% and more.
 constexpr double kFitWeight = 0.005;
+/// A task counts as in time on a target if it would be with this much longer a run: the spread of callers' estimates.
+constexpr double kRunMargin = 1.35;
+/// Time of orders and reports around a run: two round trips and their processing.
+constexpr Duration kOrderOverhead = std::chrono::milliseconds(15);
+/// Cost of a target on which the task would be late: above that of any on which it is in time.
+constexpr double kLateCost = 1000;
 /// How much longer a task is expected to take where it did not end well before: it is tried elsewhere first.
 constexpr double kRetryPenalty = 3;
 /// How much longer a task is expected to take away from its data: from the platform's description of racks.
@@ -63,7 +70,15 @@
     }));
 }
 
-OwnedTarget *TargetChooser::choose(const BoardJob &job, const TaskName &task, Instant now) const
+/// @param run expected run time on the reference target
+/// @param slowness of a target, relative to that one
+static double speedCost(const BoardJob &job, Duration run, double slowness, Instant now)
+{
+    const auto time = std::chrono::duration_cast<Duration>(run * slowness * kRunMargin) + kOrderOverhead;
+    return now + time <= job.objective ? 1 / slowness : kLateCost * slowness;
+}
+
+OwnedTarget *TargetChooser::choose(const BoardJob &job, const TaskName &task, Duration run, Instant now) const
 {
     const JobStep &step = job.request.steps[task.step];
     const BoardTask &entry = job.steps[task.step][task.index];
@@ -80,7 +95,7 @@
             continue;
         }
         const double leftCores = (room.milliCores - step.demand.milliCores) / 1000.0;
-        double cost = std::exp(ledger.speed.logSlowness()) * (1 + kFitWeight * leftCores);
+        double cost = speedCost(job, run, std::exp(ledger.speed.logSlowness()), now) * (1 + kFitWeight * leftCores);
         if (ledger.target().name == entry.lastTarget) {
             cost *= kRetryPenalty;
         }
--- a/lib/Dispatch/TargetChooser.h
+++ b/lib/Dispatch/TargetChooser.h
@@ -41,8 +41,9 @@
 
     /// @returns whether the target may get a start now, room aside.
     [[nodiscard]] bool isUsable(const OwnedTarget &target, Instant now) const;
+    /// @param run the task's expected run time on the reference target
     /// @returns the best usable target with room for a task, or null.
-    [[nodiscard]] OwnedTarget *choose(const BoardJob &job, const TaskName &task, Instant now) const;
+    [[nodiscard]] OwnedTarget *choose(const BoardJob &job, const TaskName &task, Duration run, Instant now) const;
     /// @returns whether any owned target could ever run the step.
     [[nodiscard]] bool anyFits(const ServiceName &service, const JobStep &step) const;
 
