Ownership of a zone in shards: more owners where the zone has more targets than one can carry

Change: the partitions of the zone's group are shards of its targets. Ruled out: a fixed number of owners (a job is placed whole on one owner's targets, so few are better where they suffice).

--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -24,8 +24,8 @@
     Duration homeFreshness = std::chrono::milliseconds(250);
     /// A home that was silent for longer is taken as gone, and its jobs are stopped.
     Duration homeSilence = std::chrono::milliseconds(600);
-    /// Longest time that an inspection waits for the end of a run: a third of the lease, so that two may fail.
-    std::chrono::milliseconds inspectWait { 300 };
+    /// Longest time that an inspection waits for the end of a run: a quarter of the lease, so that two may fail.
+    std::chrono::milliseconds inspectWait { 250 };
     /// Time between inspections of a target without runs, which find restarts and fences early.
     Duration idleInspectInterval = std::chrono::seconds(10);
     /// Late answers are worth something up to this multiple of the latency objective.
@@ -81,6 +81,10 @@
     void targetOwned(const DispatchTarget &target, FencingToken token, Instant now);
     /// The target is no longer owned, or no longer exists. Its runs are given up.
     void targetReleased(const TargetName &target, Instant now);
+    /// Whether new runs may start on the target; false while it is being handed over.
+    void setAccepting(const TargetName &target, bool accepting);
+    /// @returns whether no run may be at work on the target.
+    [[nodiscard]] bool isIdle(const TargetName &target) const;
     /// @returns the targets owned.
     [[nodiscard]] std::vector<TargetName> targets() const;
 
--- a/include/eelgrasscleat/Node/DispatchNode.h
+++ b/include/eelgrasscleat/Node/DispatchNode.h
@@ -22,6 +22,8 @@
     DispatcherPolicy dispatcher;
     JobHomePolicy home;
     OwnershipPolicy ownership;
+    /// Shards of each zone's targets; the same on all instances.
+    std::uint32_t shards = 16;
     /// How long an entry of the list of targets is kept after it vanished.
     Duration lapseGrace = std::chrono::milliseconds(2500);
     /// Planned stop: time in which the balancer takes the instance out of rotation.
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -292,6 +292,20 @@
     m_impl->targetReleased(target, now);
 }
 
+void Dispatcher::setAccepting(const TargetName &target, bool accepting)
+{
+    const auto it = m_impl->m_targets.find(target);
+    if (it != m_impl->m_targets.end()) {
+        it->second->accepting = accepting;
+    }
+}
+
+bool Dispatcher::isIdle(const TargetName &target) const
+{
+    const auto it = m_impl->m_targets.find(target);
+    return it == m_impl->m_targets.end() || it->second->ledger.runs().empty();
+}
+
 std::vector<TargetName> Dispatcher::targets() const
 {
     std::vector<TargetName> names;
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -253,7 +253,6 @@
     }
     m_observer.runDecided(orderAnswerName(result.answer), runName, name, 0);
     if (result.answer == OrderAnswer::Unanswered) {
-        target->ledger.pausedUntil = std::max(target->ledger.pausedUntil, now + kRejectPause);
         stopRun(*target, runName, *run, now);
         return;
     }
@@ -328,6 +327,9 @@
         });
         order.wait = stopping ? m_policy.inspectWait / 10 : m_policy.inspectWait;
     }
+    if (ledger.failures > 0) {
+        order.wait = std::chrono::milliseconds(0);
+    }
     ledger.inspecting = true;
     ledger.inspectSentAt = now;
     m_orders.inspect(order);
@@ -483,6 +485,11 @@
     ++ledger.failures;
     const auto pause = std::min(kLongestInspectRetry, kInspectRetry * (1U << std::min(ledger.failures - 1, 4U)));
     ledger.nextInspectAt = now + pause;
+    if (ledger.failures == 1 && result.answer == OrderAnswer::Unanswered) {
+        // A single answer may have been lost: ask again at once, without waiting for the end of a run.
+        inspect(*target, now);
+        return;
+    }
     if (result.answer == OrderAnswer::Fenced) {
         fenceTarget(*target, now);
         return;
--- a/lib/Dispatch/TargetChooser.cpp
+++ b/lib/Dispatch/TargetChooser.cpp
@@ -33,7 +33,7 @@
 {
     const TargetLedger &ledger = target.ledger;
     const bool known = ledger.inspected && ledger.reachable && !ledger.fenced && ledger.hasClock();
-    if (!known || ledger.target().draining || ledger.pausedUntil > now) {
+    if (!known || !target.accepting || ledger.target().draining || ledger.pausedUntil > now) {
         return false;
     }
     switch (m_health.state(target.healthIndex)) {
--- a/lib/Dispatch/TargetChooser.h
+++ b/lib/Dispatch/TargetChooser.h
@@ -25,6 +25,7 @@
 
     TargetLedger ledger;
     TargetIndex healthIndex;
+    bool accepting = true; ///< False while it is handed over to another owner.
 };
 
 using OwnedTargets = std::map<TargetName, std::unique_ptr<OwnedTarget>>;
--- a/lib/Dispatch/ZoneOwnership.cpp
+++ b/lib/Dispatch/ZoneOwnership.cpp
@@ -10,49 +10,91 @@
 
 /// An owner that hears nobody of its zone for this long is cut off from it.
 constexpr Duration kIsolation = std::chrono::milliseconds(800);
+/// Share of OwnershipPolicy::targetsPerOwner up to which the remaining owners may be filled when one steps down, so that
+/// it isn't called back at once.
+constexpr double kSurplusFill = 0.75;
 
 } // namespace
 
+ShardNumber shardOf(const TargetName &target, std::uint32_t shards)
+{
+    // FNV-1a: the same on all instances and in all builds, which std::hash doesn't promise.
+    constexpr std::uint32_t kOffsetBasis = 2166136261U;
+    constexpr std::uint32_t kPrime = 16777619U;
+    std::uint32_t hash = kOffsetBasis;
+    for (const char it : target.value) {
+        hash = (hash ^ static_cast<unsigned char>(it)) * kPrime;
+    }
+    return hash % shards;
+}
+
 ZoneOwnership::ZoneOwnership(const OwnershipPolicy &policy)
     : m_policy(policy)
 {
 }
 
-std::optional<FencingToken> ZoneOwnership::token() const
+bool ZoneOwnership::isHandingOver(ShardNumber shard) const
 {
-    return m_token;
+    return m_stopping || m_steppingDown || m_leavingShards.count(shard) > 0;
 }
 
-bool ZoneOwnership::isHandingOver() const
+void ZoneOwnership::stop()
 {
-    return m_token && (m_pendingGeneration != 0 || m_steppingDown || m_stopping);
+    m_stopping = true;
 }
 
-std::uint64_t ZoneOwnership::generationToName() const
+bool ZoneOwnership::wantsToJoin(const ZoneView &view, Instant now)
 {
-    return m_generation;
+    if (m_stopping || now < m_notBefore) {
+        return false;
+    }
+    if (now - m_ownerHeardAt >= m_policy.takeoverDelay + m_policy.handicap) {
+        return true;
+    }
+    return m_policy.mayHelp && now - m_enoughOwnersAt >= m_policy.helpDelay && view.ownersHeard > 0;
 }
 
-void ZoneOwnership::stop()
+/// Several instances may have taken over at once; one owner after the other steps down until there are only as many as
+/// the targets need.
+void ZoneOwnership::checkSurplus(const ZoneView &view, std::size_t owners, Instant now)
 {
-    m_stopping = true;
+    const double others = static_cast<double>(owners - 1) * static_cast<double>(m_policy.targetsPerOwner);
+    const bool isSurplus = !m_shards.empty() && view.ownersHeard > 0 && view.isLastOwner
+        && static_cast<double>(view.targetsOwned) <= others * kSurplusFill;
+    if (!isSurplus) {
+        m_neededAt = now;
+    } else if (now - m_neededAt >= m_policy.surplusDelay && !m_steppingDown) {
+        m_steppingDown = true;
+        m_handoverAt = now;
+    }
 }
 
 bool ZoneOwnership::wantsToLeave(const ZoneView &view, bool isIdle, Instant now)
 {
-    if (m_token) {
-        if (view.peersHeard || !view.peersKnown) {
-            m_isolatedSince = now;
-        }
-        // Another member is alive and this instance can't hear it: the others are better served by that one.
-        if (m_othersPresent && now - m_isolatedSince > kIsolation && !m_steppingDown) {
-            m_steppingDown = true;
-            m_handoverAt = now;
-        }
-        const bool over = m_steppingDown && now - m_handoverAt >= m_policy.handoverTime;
-        return (m_stopping || m_steppingDown) && (isIdle || over);
+    if (m_shards.empty()) {
+        return m_stopping || (view.ownersHeard > 0 && now - m_memberSince > m_policy.standbyDelay);
+    }
+    if (view.peersHeard || !view.peersKnown) {
+        m_isolatedSince = now;
+    }
+    // Another member is alive and this instance can't hear it: the others are better served by that one.
+    if (m_othersPresent && now - m_isolatedSince > kIsolation && !m_steppingDown) {
+        m_steppingDown = true;
+        m_handoverAt = now;
     }
-    return m_stopping || (view.ownerHeard && now - m_memberSince > m_policy.standbyDelay);
+    const bool over = m_steppingDown && now - m_handoverAt >= m_policy.handoverTime;
+    return (m_stopping || m_steppingDown) && (isIdle || over);
+}
+
+void ZoneOwnership::finishHandover(Instant now)
+{
+    for (const ShardNumber it : m_leavingShards) {
+        m_shards.erase(it);
+    }
+    m_leavingShards.clear();
+    m_generation = m_pendingGeneration;
+    m_memberSince = now;
+    m_nextRenewAt = now;
 }
 
 MembershipAction ZoneOwnership::advance(const ZoneView &view, bool isIdle, Instant now)
@@ -61,16 +103,24 @@
         m_started = true;
         m_ownerHeardAt = now;
         m_isolatedSince = now;
+        m_enoughOwnersAt = now;
+        m_neededAt = now;
     }
-    if (view.ownerHeard) {
+    if (view.ownersHeard > 0) {
         m_ownerHeardAt = now;
     }
+    const std::size_t owners = view.ownersHeard + (m_shards.empty() ? 0 : 1);
+    if (view.targetsOwned <= owners * m_policy.targetsPerOwner) {
+        m_enoughOwnersAt = now;
+    }
+    if (owners > 0) {
+        checkSurplus(view, owners, now);
+    }
     if (m_inFlight) {
         return MembershipAction::None;
     }
     if (!m_member) {
-        const bool orphaned = now - m_ownerHeardAt >= m_policy.takeoverDelay + m_policy.handicap;
-        if (m_stopping || !orphaned || now < m_notBefore) {
+        if (!wantsToJoin(view, now)) {
             return MembershipAction::None;
         }
         m_member = true;
@@ -82,20 +132,16 @@
     if (wantsToLeave(view, isIdle, now)) {
         m_inFlight = true;
         m_leaving = true;
-        m_token.reset();
-        m_pendingGeneration = 0;
+        m_shards.clear();
+        m_leavingShards.clear();
         if (m_steppingDown) {
             m_notBefore = now + m_policy.stepDownPause;
         }
         m_steppingDown = false;
         return MembershipAction::Leave;
     }
-    if (m_pendingGeneration != 0 && (isIdle || now - m_handoverAt >= m_policy.handoverTime)) {
-        m_generation = m_pendingGeneration;
-        m_pendingGeneration = 0;
-        m_token.reset();
-        m_memberSince = now;
-        m_nextRenewAt = now;
+    if (!m_leavingShards.empty() && (isIdle || now - m_handoverAt >= m_policy.handoverTime)) {
+        finishHandover(now);
     }
     if (now < m_nextRenewAt) {
         return MembershipAction::None;
@@ -109,23 +155,25 @@
     m_inFlight = false;
     m_nextRenewAt = now + m_policy.renewInterval;
     m_othersPresent = !answer.isAlone;
-    if (answer.holdsZone) {
-        m_pendingGeneration = 0;
-        m_generation = answer.generation;
-        if (!m_token) {
-            m_token = FencingToken(answer.generation);
-            m_isolatedSince = now;
+    if (m_shards.empty()) {
+        m_isolatedSince = now;
+    }
+    for (const ShardNumber it : answer.shards) {
+        m_leavingShards.erase(it);
+        m_shards.emplace(it, FencingToken(answer.generation));
+    }
+    const bool wasHandingOver = !m_leavingShards.empty();
+    for (const auto &it : m_shards) {
+        if (answer.shards.count(it.first) == 0) {
+            m_leavingShards.insert(it.first);
         }
-        return;
     }
-    if (!m_token) {
+    m_pendingGeneration = answer.generation;
+    if (m_leavingShards.empty()) {
         m_generation = answer.generation;
-        return;
-    }
-    if (m_pendingGeneration == 0) {
+    } else if (!wasHandingOver) {
         m_handoverAt = now;
     }
-    m_pendingGeneration = answer.generation;
 }
 
 void ZoneOwnership::left()
@@ -138,12 +186,9 @@
 
 void ZoneOwnership::fenced(FencingToken token, Instant now)
 {
-    if (!m_token || m_token->value > token.value) {
-        return;
-    }
-    // If the group still assigns the zone to this member, the next answer brings a newer generation.
-    m_token.reset();
-    m_pendingGeneration = 0;
+    // If the group still assigns a shard to this member, the next answer brings it back under a newer generation.
+    std::erase_if(m_shards, [token](const auto &it) { return it.second <= token; });
+    std::erase_if(m_leavingShards, [this](ShardNumber it) { return m_shards.count(it) == 0; });
     m_memberSince = now;
     m_nextRenewAt = now;
 }
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -2,6 +2,7 @@
 /// Start, stop, what is due with time, and what concerns the store and the ownership of targets.
 #include "NodeImpl.h"
 
+#include <algorithm>
 #include <ctime>
 
 namespace Eelgrasscleat
@@ -104,10 +105,10 @@
     m_dispatcher.advance(m_now);
     advanceOwnership();
     SelfStatus status;
-    status.owner = m_token.has_value();
+    status.owner = !m_shards.empty();
     status.load = m_dispatcher.load();
     status.configVersion = m_configuration.current().version;
-    if (m_token) {
+    if (status.owner) {
         m_home.dispatcherSeen(m_settings.self.name, m_settings.self.zone, status.load, m_now);
     } else {
         m_home.dispatcherRetired(m_settings.self.name);
@@ -130,8 +131,9 @@
 
 void DispatchNode::Impl::advanceOwnership()
 {
-    const bool isIdle = m_dispatcher.isDrained();
-    const MembershipAction action = m_ownership.advance(m_link.zoneView(m_now), isIdle, m_now);
+    ZoneView view = m_link.zoneView(m_now);
+    view.targetsOwned += m_dispatcher.load().targets;
+    const MembershipAction action = m_ownership.advance(view, isHandoverIdle(), m_now);
     applyOwnership();
     if (action == MembershipAction::None) {
         return;
@@ -161,50 +163,60 @@
     });
 }
 
-/// Brings the dispatcher in line with the ownership of the zone.
+ShardNumber DispatchNode::Impl::shardOfTarget(const TargetName &target) const
+{
+    return shardOf(target, m_settings.shards);
+}
+
+/// @returns whether no run is at work on targets that are being handed over.
+bool DispatchNode::Impl::isHandoverIdle() const
+{
+    const auto targets = m_dispatcher.targets();
+    return std::all_of(targets.begin(), targets.end(), [this](const TargetName &it) {
+        return !m_ownership.isHandingOver(shardOfTarget(it)) || m_dispatcher.isIdle(it);
+    });
+}
+
+/// Brings the dispatcher in line with the ownership of shards.
 void DispatchNode::Impl::applyOwnership()
 {
-    const auto token = m_ownership.token();
-    if (token != m_token) {
-        m_log.changed(
-            token ? "zone owned" : "zone given up",
-            { { "zone", m_settings.self.zone.value }, { "token", token ? token->value : std::uint64_t { 0 } } });
-        m_token = token;
-        if (token) {
-            m_store->followTargets(true);
-            ownAllTargets();
+    const auto &shards = m_ownership.shards();
+    if (shards != m_shards) {
+        m_log.changed("shards owned",
+                      { { "zone", m_settings.self.zone.value },
+                        { "shards", std::uint64_t { shards.size() } },
+                        { "before", std::uint64_t { m_shards.size() } },
+                        { "generation", m_ownership.generationToName() } });
+        m_shards = shards;
+        for (const TargetName &it : m_dispatcher.targets()) {
+            if (m_shards.count(shardOfTarget(it)) == 0) {
+                m_dispatcher.targetReleased(it, m_now);
+            }
+        }
+        m_store->followTargets(!m_shards.empty());
+        if (m_shards.empty()) {
+            m_targets.clear();
         } else {
-            releaseAllTargets();
+            ownAllTargets();
         }
     }
-    if (m_stopped) {
-        return;
-    }
-    if (m_ownership.isHandingOver()) {
-        m_dispatcher.drain(m_now);
-    } else {
-        m_dispatcher.resume();
+    for (const TargetName &it : m_dispatcher.targets()) {
+        m_dispatcher.setAccepting(it, m_stopped || !m_ownership.isHandingOver(shardOfTarget(it)));
     }
 }
 
-void DispatchNode::Impl::ownAllTargets()
+void DispatchNode::Impl::ownTarget(const DispatchTarget &target)
 {
-    if (!m_token) {
-        return;
-    }
-    for (const auto &it : m_targets.targets()) {
-        if (it.second.zone == m_settings.self.zone) {
-            m_dispatcher.targetOwned(it.second, *m_token, m_now);
-        }
+    const auto it = m_shards.find(shardOfTarget(target.name));
+    if (it != m_shards.end() && target.zone == m_settings.self.zone) {
+        m_dispatcher.targetOwned(target, it->second, m_now);
     }
 }
 
-void DispatchNode::Impl::releaseAllTargets()
+void DispatchNode::Impl::ownAllTargets()
 {
-    m_store->followTargets(false);
-    m_targets.clear();
-    for (const TargetName &it : m_dispatcher.targets()) {
-        m_dispatcher.targetReleased(it, m_now);
+    for (const auto &it : m_targets.targets()) {
+        ownTarget(it.second);
     }
 }
 
@@ -242,9 +254,7 @@
     if (!m_targets.set(target)) {
         return;
     }
-    if (m_token && target.zone == m_settings.self.zone) {
-        m_dispatcher.targetOwned(target, *m_token, m_now);
-    }
+    ownTarget(target);
     settle();
 }
 
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -90,8 +90,10 @@
     void applyConfiguration(FleetConfiguration configuration, const std::string &source);
     void advanceOwnership();
     void applyOwnership();
+    void ownTarget(const DispatchTarget &target);
     void ownAllTargets();
-    void releaseAllTargets();
+    [[nodiscard]] bool isHandoverIdle() const;
+    [[nodiscard]] ShardNumber shardOfTarget(const TargetName &target) const;
     void advanceStop();
 
     NodeSettings m_settings;
@@ -107,7 +109,7 @@
     CoordinationStore *m_store = nullptr;
     Instant m_now {};
     std::map<CallerId, Arrival> m_arrivals;
-    std::optional<FencingToken> m_token; ///< Under which the targets are owned at present.
+    std::map<ShardNumber, FencingToken> m_shards; ///< Under which tokens targets are owned at present.
     std::deque<std::function<void()>> m_local; ///< What one part says to another.
     bool m_ready = false;
 
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -161,6 +161,7 @@
 ZoneView PeerLink::zoneView(Instant now) const
 {
     ZoneView view;
+    view.isLastOwner = true;
     for (const auto &it : m_peers) {
         if (it.second.announced.zone != m_self.zone) {
             continue;
@@ -168,7 +169,11 @@
         const bool heard = it.second.up && now - it.second.heardAt < kZoneSilence;
         view.peersKnown = true;
         view.peersHeard = view.peersHeard || heard;
-        view.ownerHeard = view.ownerHeard || (heard && it.second.owner);
+        if (heard && it.second.owner) {
+            ++view.ownersHeard;
+            view.targetsOwned += it.second.targets;
+            view.isLastOwner = view.isLastOwner && it.first < m_self.name;
+        }
     }
     return view;
 }
@@ -187,6 +192,7 @@
         m_events.sessionEnded(name, "new session");
     }
     peer.owner = message.owner();
+    peer.targets = message.targets();
     peer.configVersion = message.config_version();
     if (message.config_version() > m_status.configVersion.value) {
         schema::PeerMessage request;
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -80,6 +80,7 @@
         Instant heardAt {};
         Instant lastSentAt {};
         bool owner = false;
+        std::size_t targets = 0; ///< Usable targets that it owns.
         bool statusDue = true;
         std::uint64_t configVersion = 0;
     };
--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -18,7 +18,7 @@
     CPPUNIT_TEST(forget_whileAway_listedAgain);
     CPPUNIT_TEST(store_refusesThenServes_lostThenRegained);
     CPPUNIT_TEST(target_damagedEntry_rejectedOthersRead);
-    CPPUNIT_TEST(membership_zonePartitionListed_holdsZone);
+    CPPUNIT_TEST(membership_partitionsListed_areShards);
     CPPUNIT_TEST(membership_storeSilent_errorInTime);
     CPPUNIT_TEST(announce_storeRefuses_writtenLater);
     CPPUNIT_TEST_SUITE_END();
@@ -89,13 +89,13 @@
         CPPUNIT_ASSERT_EQUAL(1, m_rejected);
     }
 
-    void membership_zonePartitionListed_holdsZone()
+    void membership_partitionsListed_areShards()
     {
         m_stand->groupAnswer = R"({"generation":7,"ttl-ms":1200,"parts":[["zone.zone",3,0],["zone.zone",0,5]]})";
         const auto answer = renew();
         const auto &membership = std::get<MembershipAnswer>(answer);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, membership.generation);
-        CPPUNIT_ASSERT(membership.holdsZone);
+        CPPUNIT_ASSERT((membership.shards == std::set<ShardNumber> { 0, 3 }));
         CPPUNIT_ASSERT(!membership.isAlone);
         CPPUNIT_ASSERT(m_stand->groupCalls.front().find("front-1") != std::string::npos);
     }
