--- a/include/eelgrasscleat/Tool/Process.h
+++ b/include/eelgrasscleat/Tool/Process.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,21 +42,35 @@
 std::optional<ExitCode>
 readCommandLine(int argc, char **argv, const ProcessInfo &info, google::protobuf::Message &settings);
 
-/// Calls a function on the event loop when the process gets SIGTERM or SIGINT. Make it before any thread is started:
-/// it blocks both signals, and threads inherit that.
-class TerminationSignal
+/// Calls a function on the event loop when the process gets one of some signals. Make it before any thread is started:
+/// it blocks the signals, and threads inherit that.
+class SignalWatcher
 {
 public:
-    explicit TerminationSignal(std::function<void()> terminate);
-    ~TerminationSignal();
-    TerminationSignal(const TerminationSignal &) = delete;
-    TerminationSignal &operator=(const TerminationSignal &) = delete;
+    SignalWatcher(std::initializer_list<int> numbers, std::function<void()> received);
+    ~SignalWatcher();
+    SignalWatcher(const SignalWatcher &) = delete;
+    SignalWatcher &operator=(const SignalWatcher &) = delete;
 
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
 };
 
+/// Watches for the signals that ask a process to end, SIGTERM and SIGINT.
+class TerminationSignal : public SignalWatcher
+{
+public:
+    explicit TerminationSignal(std::function<void()> terminate);
+};
+
+/// Watches for the signal that says that settings have changed, SIGHUP.
+class ReloadSignal : public SignalWatcher
+{
+public:
+    explicit ReloadSignal(std::function<void()> reload);
+};
+
 /// Prints one line of JSON with the port on standard output, for whoever started the process.
 void announcePort(std::uint16_t port);
 
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -19,6 +19,9 @@
 constexpr Duration kLongestRetry = std::chrono::seconds(5);
 /// Job names are remembered for this long after their last run, so that run numbers of a resubmission go on rising.
 constexpr Duration kRecentJobs = std::chrono::seconds(20);
+/// Share of the targets' room that the least urgent jobs are taken to get under any load: tasks end, and some fit no
+/// more urgent one.
+constexpr double kLeastShare = 0.1;
 /// Jobs that can't be placed are skipped at most this often in one pass, which bounds its time.
 constexpr std::uint32_t kSkippedJobs = 16;
 
@@ -38,6 +41,9 @@
 
 double Dispatcher::Impl::serviceRate(Instant now) const
 {
+    if (now == m_rateAt) {
+        return m_rate;
+    }
     double milliCores = 0;
     for (const auto &it : m_targets) {
         if (m_chooser.isUsable(*it.second, now)) {
@@ -45,9 +51,22 @@
                 it.second->ledger.target().capacity.milliCores / std::exp(it.second->ledger.speed.logSlowness());
         }
     }
+    m_rateAt = now;
+    m_rate = milliCores;
     return milliCores;
 }
 
+/// @returns the time until the work that waits at @p priority or before it is placed, if @p arriving more comes first.
+Duration Dispatcher::Impl::waitBehind(std::uint32_t priority, double arriving, Instant now) const
+{
+    const double rate = serviceRate(now);
+    if (rate <= 0) {
+        return kLongestRetry;
+    }
+    const double left = std::max(kLeastShare * rate, rate - arriving);
+    return Duration(static_cast<Duration::rep>(m_board.queued(priority).milliCoreMicros / left));
+}
+
 Duration Dispatcher::Impl::expectedWait(const JobRequest &request, Instant now)
 {
     double demand = 0;
@@ -57,12 +76,20 @@
     if (static_cast<double>(load(now).freeMilliCores) >= demand) {
         return {};
     }
-    const double rate = serviceRate(now);
-    if (rate <= 0) {
-        return kLongestRetry;
+    // More urgent jobs that arrive meanwhile go first, too.
+    return waitBehind(request.priority, m_board.arrivingBefore(request.priority, now), now);
+}
+
+/// A job that has missed its objective comes after all of its priority that have not, also those that arrive later.
+/// @returns whether it can't end any more while its caller gains from it.
+bool Dispatcher::Impl::isHopeless(const BoardJob &job, Instant now) const
+{
+    Duration wait {};
+    if (now + job.chain > job.objective) {
+        const std::uint32_t priority = job.request.priority;
+        wait = waitBehind(priority, m_board.arrivingBefore(priority + 1, now), now);
     }
-    const QueuedWork ahead = m_board.queued(request.priority);
-    return Duration(static_cast<Duration::rep>(ahead.milliCoreMicros / rate));
+    return now + wait + job.chain > job.uselessAt;
 }
 
 void Dispatcher::Impl::submit(const JobOrigin &origin, JobRequest request, Instant now)
@@ -71,6 +98,7 @@
         giveUp(*earlier, JobOutcome::Abandoned, JobEndReason::Superseded, now);
     }
     const JobId id = request.id;
+    m_board.countArrival(request, now);
     if (m_draining) {
         refuse(origin, id, JobEndReason::Stopping, kShortestRetry);
         return;
@@ -220,7 +248,7 @@
         BoardJob &job = *it.second;
         if (now >= job.request.deadline) {
             late.push_back(&job);
-        } else if (job.mayHaveRun == 0 && now + job.chain > job.uselessAt) {
+        } else if (job.mayHaveRun == 0 && isHopeless(job, now)) {
             hopeless.push_back(&job);
         }
     }
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -58,6 +58,8 @@
     void endJob(BoardJob &job, JobOutcome outcome, JobEndReason reason, Instant now);
     void giveUp(BoardJob &job, JobOutcome outcome, JobEndReason reason, Instant now);
     [[nodiscard]] Duration expectedWait(const JobRequest &request, Instant now);
+    [[nodiscard]] Duration waitBehind(std::uint32_t priority, double arriving, Instant now) const;
+    [[nodiscard]] bool isHopeless(const BoardJob &job, Instant now) const;
     [[nodiscard]] double serviceRate(Instant now) const;
     void placeWaiting(Instant now);
     bool placeTasks(BoardJob &job, Instant now);
@@ -92,6 +94,8 @@
     std::map<JobId, RecentRuns> m_recent;
     std::vector<TargetIndex> m_freeIndexes;
     TargetIndex m_nextIndex = 0;
+    mutable double m_rate = 0; ///< Result of serviceRate() at m_rateAt.
+    mutable Instant m_rateAt {};
 };
 
 } // namespace Eelgrasscleat
--- a/lib/Dispatch/JobBoard.cpp
+++ b/lib/Dispatch/JobBoard.cpp
@@ -15,6 +15,8 @@
 
 /// Time for orders and reports between a start and the report of its end: two round trips and their processing.
 constexpr Duration kOrderOverhead = std::chrono::milliseconds(15);
+/// Time over which the rate of arrivals is averaged: bursts last seconds.
+constexpr Duration kArrivalWindow = std::chrono::seconds(1);
 
 } // namespace
 
@@ -29,6 +31,35 @@
     return Duration(static_cast<Duration::rep>(std::exp(logRun)));
 }
 
+double JobBoard::decayed(const ArrivalRate &rate, Instant now)
+{
+    const auto age = static_cast<double>((now - rate.at).count()) / static_cast<double>(kArrivalWindow.count());
+    return rate.milliCores * std::exp(-age);
+}
+
+void JobBoard::countArrival(const JobRequest &request, Instant now)
+{
+    double milliCoreMicros = 0;
+    for (const JobStep &it : request.steps) {
+        const auto run = static_cast<double>(expectedRun(request.route, it).count());
+        milliCoreMicros += static_cast<double>(it.demand.milliCores) * it.tasks * run;
+    }
+    ArrivalRate &rate = m_arrivals[request.priority];
+    rate.milliCores = decayed(rate, now) + milliCoreMicros / static_cast<double>(kArrivalWindow.count());
+    rate.at = now;
+}
+
+double JobBoard::arrivingBefore(std::uint32_t priority, Instant now) const
+{
+    double sum = 0;
+    for (const auto &it : m_arrivals) {
+        if (it.first < priority) {
+            sum += decayed(it.second, now);
+        }
+    }
+    return sum;
+}
+
 Duration JobBoard::longestChain(const JobRequest &request)
 {
     std::vector<Duration> ends(request.steps.size());
--- a/lib/Dispatch/JobBoard.h
+++ b/lib/Dispatch/JobBoard.h
@@ -77,6 +77,10 @@
     [[nodiscard]] std::vector<BoardJob *> waiting(Instant now) const;
     /// @returns what waits at @p priority or before it.
     [[nodiscard]] QueuedWork queued(std::uint32_t priority) const;
+    /// A job was submitted, whether it is taken or refused.
+    void countArrival(const JobRequest &request, Instant now);
+    /// @returns demand that arrives before @p priority, in thousandths of a core, as of late.
+    [[nodiscard]] double arrivingBefore(std::uint32_t priority, Instant now) const;
     [[nodiscard]] const std::map<JobNumber, std::unique_ptr<BoardJob>> &jobs() const
     {
         return m_jobs;
@@ -88,6 +92,14 @@
     [[nodiscard]] Duration expectedRun(const RouteName &route, const JobStep &step);
 
 private:
+    /// Demand of the jobs of a priority, as a moving average.
+    struct ArrivalRate
+    {
+        double milliCores = 0;
+        Instant at {};
+    };
+
+    [[nodiscard]] static double decayed(const ArrivalRate &rate, Instant now);
     [[nodiscard]] Duration longestChain(const JobRequest &request);
 
     std::map<JobNumber, std::unique_ptr<BoardJob>> m_jobs;
@@ -95,6 +107,7 @@
     std::map<JobId, JobNumber> m_byId;
     std::set<JobNumber> m_withReady;
     std::map<std::uint32_t, QueuedWork> m_queued; ///< By priority.
+    std::map<std::uint32_t, ArrivalRate> m_arrivals; ///< By priority.
     std::map<RouteName, SizeModel> m_sizes;
     std::uint64_t m_lastNumber = 0;
 };
--- a/lib/Entry/PeerEvents.cpp
+++ b/lib/Entry/PeerEvents.cpp
@@ -69,6 +69,13 @@
     case schema::PeerMessage::kKeptAnswers:
         keepAnswers(message.kept_answers(), clock);
         return;
+    case schema::PeerMessage::kDispatchStatus:
+    case schema::PeerMessage::kDispatchJob:
+    case schema::PeerMessage::kDispatchCancel:
+    case schema::PeerMessage::kDispatchEnd:
+    case schema::PeerMessage::kFleetConfigRequest:
+    case schema::PeerMessage::kFleetConfig:
+        // Between dispatching instances (lib/Node), which entry instances are not.
     case schema::PeerMessage::kHeartbeat:
     case schema::PeerMessage::KIND_NOT_SET:
         return;
--- a/lib/Tool/Process.cpp
+++ b/lib/Tool/Process.cpp
@@ -66,16 +66,16 @@
     return std::nullopt;
 }
 
-class TerminationSignal::Impl
+class SignalWatcher::Impl
 {
 public:
-    explicit Impl(std::function<void()> terminate)
-        : m_descriptor(openSignals())
+    Impl(std::initializer_list<int> numbers, std::function<void()> received)
+        : m_descriptor(openSignals(numbers))
         , m_notifier(m_descriptor, QSocketNotifier::Read)
     {
-        QObject::connect(&m_notifier, &QSocketNotifier::activated, &m_notifier, [this, run = std::move(terminate)] {
-            signalfd_siginfo received {};
-            if (::read(m_descriptor, &received, sizeof(received)) == sizeof(received)) {
+        QObject::connect(&m_notifier, &QSocketNotifier::activated, &m_notifier, [this, run = std::move(received)] {
+            signalfd_siginfo info {};
+            if (::read(m_descriptor, &info, sizeof(info)) == sizeof(info)) {
                 run();
             }
         });
@@ -91,12 +91,13 @@
     Impl &operator=(const Impl &) = delete;
 
 private:
-    static int openSignals()
+    static int openSignals(std::initializer_list<int> numbers)
     {
         sigset_t set;
         sigemptyset(&set);
-        sigaddset(&set, SIGTERM);
-        sigaddset(&set, SIGINT);
+        for (const int it : numbers) {
+            sigaddset(&set, it);
+        }
         pthread_sigmask(SIG_BLOCK, &set, nullptr);
         return ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
     }
@@ -105,12 +106,22 @@
     QSocketNotifier m_notifier;
 };
 
+SignalWatcher::SignalWatcher(std::initializer_list<int> numbers, std::function<void()> received)
+    : m_impl(std::make_unique<Impl>(numbers, std::move(received)))
+{
+}
+
+SignalWatcher::~SignalWatcher() = default;
+
 TerminationSignal::TerminationSignal(std::function<void()> terminate)
-    : m_impl(std::make_unique<Impl>(std::move(terminate)))
+    : SignalWatcher({ SIGTERM, SIGINT }, std::move(terminate))
 {
 }
 
-TerminationSignal::~TerminationSignal() = default;
+ReloadSignal::ReloadSignal(std::function<void()> reload)
+    : SignalWatcher({ SIGHUP }, std::move(reload))
+{
+}
 
 void announcePort(std::uint16_t port)
 {
--- /dev/null
+++ b/unittests/Dispatch/DispatcherLoadTest.cpp
@@ -0,0 +1,257 @@
+/// @file
+/// Plays loads like the users' on fake targets of three speeds, and checks what callers get: jobs in time, urgent ones
+/// first, refusals at once, and sick targets avoided.
+#include "FakeFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <map>
+
+namespace Eelgrasscleat
+{
+
+namespace
+{
+
+const InstanceName kHome("home");
+
+/// A kind of job of the users' sheets.
+struct JobKind
+{
+    std::uint32_t priority;
+    std::uint32_t meanTasks;
+    Duration work;
+    double perSecond; ///< On a zone of 16 targets at the users' load.
+};
+
+constexpr JobKind kUrgentWide { 0, 8, std::chrono::milliseconds(60), 11.5 };
+constexpr JobKind kShort { 1, 2, std::chrono::milliseconds(200), 33.3 };
+constexpr JobKind kLong { 2, 4, std::chrono::milliseconds(900), 2.1 };
+
+} // namespace
+
+/// One zone under a load.
+class LoadedZone : public DispatcherObserver
+{
+public:
+    /// What became of the jobs of one priority.
+    struct Tally
+    {
+        int asked = 0;
+        int inTime = 0;
+        int refused = 0;
+        Duration longestToRefusal {};
+    };
+
+    explicit LoadedZone(std::uint64_t seed, std::size_t targets = 16)
+        : fleet(queue, seed)
+        , m_orders(fleet, queue)
+        , dispatcher(DispatcherPolicy(), m_orders, *this)
+    {
+        m_orders.dispatcher = &dispatcher;
+        fleet.addTargets(targets);
+        for (const FakeTarget &it : fleet.targets) {
+            dispatcher.targetOwned(it.description, FencingToken(1), queue.now());
+        }
+        tick();
+    }
+
+    /// Submits jobs of a kind at @p factor times the users' rate for some seconds.
+    void play(const JobKind &kind, double factor, std::chrono::seconds length)
+    {
+        const double perSecond = kind.perSecond * factor;
+        std::exponential_distribution<double> gap(perSecond);
+        double at = gap(fleet.random);
+        while (at < static_cast<double>(length.count())) {
+            queue.after(Duration(static_cast<Duration::rep>(at * 1e6)), [this, kind] { submit(kind); });
+            at += gap(fleet.random);
+        }
+    }
+
+    void run(std::chrono::seconds length)
+    {
+        queue.runUntil(queue.now() + length);
+    }
+
+    void jobEnded(const InstanceName &, const JobEnd &end) override
+    {
+        const Pending &job = m_pending.at(end.ticket);
+        Tally &tally = tallies[job.priority];
+        if (end.outcome == JobOutcome::Complete && queue.now() <= job.objective) {
+            ++tally.inTime;
+        }
+        if (end.outcome == JobOutcome::Refused) {
+            ++tally.refused;
+            tally.longestToRefusal = std::max(tally.longestToRefusal, queue.now() - job.submitted);
+        }
+    }
+    void runDecided(std::string_view decision, const RunName &, const TargetName &target, double) override
+    {
+        if (decision == "start") {
+            ++starts[target];
+        }
+    }
+    void tokenFenced(FencingToken, const TargetName &) override
+    {
+    }
+    void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
+    {
+    }
+
+    EventQueue queue;
+    FakeFleet fleet;
+
+private:
+    FakeOrders m_orders;
+
+public:
+    Dispatcher dispatcher;
+    std::map<std::uint32_t, Tally> tallies; ///< By priority.
+    std::map<TargetName, int> starts;
+
+private:
+    struct Pending
+    {
+        std::uint32_t priority;
+        Instant submitted;
+        Instant objective;
+    };
+
+    void tick()
+    {
+        dispatcher.homeHeard(kHome, queue.now());
+        dispatcher.advance(queue.now());
+        queue.after(std::chrono::milliseconds(40), [this] { tick(); });
+    }
+
+    void submit(const JobKind &kind)
+    {
+        std::lognormal_distribution<double> spread(-0.08, 0.4);
+        JobRequest request;
+        const std::uint64_t ticket = ++m_lastTicket;
+        request.id = JobId("job" + std::to_string(ticket));
+        request.route = RouteName("route" + std::to_string(kind.priority));
+        request.service = ServiceName("service");
+        request.payload = "payload";
+        request.priority = kind.priority;
+        request.attempts = 2;
+        request.stretch = 1.6;
+        request.latencyTarget = std::chrono::milliseconds(60);
+        request.submitted = queue.now();
+        request.deadline = queue.now() + std::chrono::milliseconds(3500);
+        JobStep step;
+        step.tasks = std::max(1U, static_cast<std::uint32_t>(std::lround(kind.meanTasks * spread(fleet.random))));
+        step.demand = { 11000 + static_cast<std::uint32_t>(drawBelow(fleet.random, 6000)), 64, 0 };
+        const auto work = std::chrono::duration_cast<Duration>(kind.work * spread(fleet.random));
+        step.estimate = std::chrono::duration_cast<Duration>(work * spread(fleet.random));
+        request.steps.push_back(step);
+        for (std::uint32_t i = 0; i < step.tasks; ++i) {
+            fleet.expectTask({ request.id, 0, i }, step.demand, work);
+        }
+        const Instant objective =
+            queue.now() + std::chrono::duration_cast<Duration>(work * request.stretch) + request.latencyTarget;
+        m_pending[ticket] = { kind.priority, queue.now(), objective };
+        ++tallies[kind.priority].asked;
+        dispatcher.homeHeard(kHome, queue.now());
+        dispatcher.submit({ kHome, ticket }, std::move(request), queue.now());
+    }
+
+    std::map<std::uint64_t, Pending> m_pending;
+    std::uint64_t m_lastTicket = 0;
+};
+
+class DispatcherLoadTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatcherLoadTest);
+    CPPUNIT_TEST(calmLoad_threeSpeeds_longJobsInTime);
+    CPPUNIT_TEST(overload_threeKinds_urgentOnesInTime);
+    CPPUNIT_TEST(overload_hopelessJobs_refusedEarly);
+    CPPUNIT_TEST(failingTarget_getsFewStarts);
+    CPPUNIT_TEST(hangingTargets_jobsStillComplete);
+    CPPUNIT_TEST(lostAnswers_mostJobsInTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void calmLoad_threeSpeeds_longJobsInTime()
+    {
+        LoadedZone zone(1);
+        playAll(zone, 0.6, 40);
+        // The slowest targets take 1.6 times as long as the reference: long tasks have to find the others free.
+        assertInTime(zone, 2, 0.9);
+        assertInTime(zone, 1, 0.97);
+        assertInTime(zone, 0, 0.97);
+        CPPUNIT_ASSERT(zone.fleet.violations().empty());
+    }
+
+    void overload_threeKinds_urgentOnesInTime()
+    {
+        LoadedZone zone(2);
+        playAll(zone, 1.6, 20);
+        assertInTime(zone, 0, 0.75);
+        CPPUNIT_ASSERT(zone.fleet.violations().empty());
+    }
+
+    void overload_hopelessJobs_refusedEarly()
+    {
+        LoadedZone zone(3);
+        playAll(zone, 3, 10);
+        const LoadedZone::Tally &shorts = zone.tallies[1];
+        CPPUNIT_ASSERT(shorts.refused > 0);
+        // Three objectives of a task of 200 ms are about 1.1 s, of one of 800 ms about 4 s; none is held to a deadline.
+        CPPUNIT_ASSERT(shorts.longestToRefusal < std::chrono::milliseconds(2500));
+    }
+
+    void failingTarget_getsFewStarts()
+    {
+        LoadedZone zone(4);
+        zone.fleet.targets[2].failsAll = true;
+        playAll(zone, 0.6, 20);
+        int total = 0;
+        for (const auto &it : zone.starts) {
+            total += it.second;
+        }
+        const int fair = total / static_cast<int>(zone.fleet.targets.size());
+        CPPUNIT_ASSERT(zone.starts[TargetName("target-2")] < fair / 2);
+        assertInTime(zone, 0, 0.9);
+    }
+
+    void hangingTargets_jobsStillComplete()
+    {
+        LoadedZone zone(5);
+        zone.fleet.targets[1].hangs = true;
+        zone.fleet.targets[4].hangs = true;
+        playAll(zone, 0.6, 20);
+        assertInTime(zone, 1, 0.85);
+        CPPUNIT_ASSERT(zone.fleet.violations().empty());
+    }
+
+    void lostAnswers_mostJobsInTime()
+    {
+        LoadedZone zone(6);
+        zone.fleet.faults = { 0, 0, 0.05 };
+        playAll(zone, 0.6, 20);
+        assertInTime(zone, 1, 0.6);
+        CPPUNIT_ASSERT(zone.fleet.violations().empty());
+    }
+
+private:
+    static void playAll(LoadedZone &zone, double factor, int seconds)
+    {
+        for (const JobKind &it : { kUrgentWide, kShort, kLong }) {
+            zone.play(it, factor, std::chrono::seconds(seconds));
+        }
+        zone.run(std::chrono::seconds(seconds + 5));
+    }
+
+    static void assertInTime(LoadedZone &zone, std::uint32_t priority, double share)
+    {
+        const LoadedZone::Tally &tally = zone.tallies[priority];
+        const double seen = static_cast<double>(tally.inTime) / tally.asked;
+        CPPUNIT_ASSERT_MESSAGE("priority " + std::to_string(priority) + ": " + std::to_string(seen), seen >= share);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherLoadTest);
+
+} // namespace Eelgrasscleat
--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -10,7 +10,9 @@
 namespace
 {
 
-constexpr Duration kOrderTimeout = std::chrono::milliseconds(300);
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(150);
+/// How soon a waiting inspection notices an end.
+constexpr Duration kLookInterval = std::chrono::milliseconds(3);
 constexpr TargetTime kLongestLease { 1000 };
 
 bool happens(RandomSource &random, double share)
@@ -319,20 +321,42 @@
 
 void FakeOrders::inspect(const InspectOrder &order)
 {
-    // A real target answers when a run ends; here it answers at once, and the next inspection follows in 10 ms.
     auto report = std::make_shared<TargetReport>();
-    const Duration pause = order.wait.count() > 0 ? Duration(std::chrono::milliseconds(10)) : Duration(0);
-    m_queue.after(pause, [this, order, report] {
-        carry([this, order, report](FakeTarget &target) { return target.inspect(order, *report, m_queue.now()); },
-              order.target.name,
-              order.wait + kOrderTimeout,
-              [this, order, report](const OrderResult &result) {
-                  if (result.answer == OrderAnswer::Accepted) {
-                      dispatcher->inspected(order.target.name, *report, result, m_queue.now());
-                  } else {
-                      dispatcher->inspectionFailed(order.target.name, result, m_queue.now());
-                  }
-              });
+    const auto answer = [this, order, report](const OrderResult &result) {
+        if (result.answer == OrderAnswer::Accepted) {
+            dispatcher->inspected(order.target.name, *report, result, m_queue.now());
+        } else {
+            dispatcher->inspectionFailed(order.target.name, result, m_queue.now());
+        }
+    };
+    const auto look = [this, order, report](FakeTarget &target) {
+        return target.inspect(order, *report, m_queue.now());
+    };
+    carry(look, order.target.name, order.wait + kOrderTimeout, [this, order, report, answer](const OrderResult &result) {
+        const bool mayWait = order.wait.count() > 0 && result.answer == OrderAnswer::Accepted && report->ended.empty();
+        if (mayWait) {
+            waitForEnd(order, report, m_queue.now() + order.wait, answer);
+        } else {
+            answer(result);
+        }
+    });
+}
+
+/// The target answers when a run ends, or when the time to wait is over.
+void FakeOrders::waitForEnd(const InspectOrder &order,
+                            const std::shared_ptr<TargetReport> &report,
+                            Instant until,
+                            const std::function<void(const OrderResult &)> &answer)
+{
+    m_queue.after(kLookInterval, [this, order, report, until, answer] {
+        FakeTarget *target = find(order.target.name);
+        *report = TargetReport();
+        const OrderResult result = target->inspect(order, *report, m_queue.now());
+        if (result.answer == OrderAnswer::Accepted && report->ended.empty() && m_queue.now() < until) {
+            waitForEnd(order, report, until, answer);
+        } else {
+            deliver([answer, result] { answer(result); });
+        }
     });
 }
 
--- a/unittests/Dispatch/FakeFleet.h
+++ b/unittests/Dispatch/FakeFleet.h
@@ -147,6 +147,10 @@
                const TargetName &target,
                Duration answerTimeout,
                std::function<void(const OrderResult &)> answer);
+    void waitForEnd(const InspectOrder &order,
+                    const std::shared_ptr<TargetReport> &report,
+                    Instant until,
+                    const std::function<void(const OrderResult &)> &answer);
     void deliver(std::function<void()> event);
     FakeTarget *find(const TargetName &name);
 
