--- a/include/eelgrasscleat/Placement/SpeedModel.h
+++ b/include/eelgrasscleat/Placement/SpeedModel.h
@@ -13,8 +13,8 @@
 class SpeedEstimate
 {
 public:
-    /// @param driftVariance variance that the slowness gains with each sample: the larger, the sooner a changed speed is
-    /// followed
+    /// @param driftVariance variance that the slowness gains with each sample: the larger, the sooner a changed speed
+    /// is followed
     explicit SpeedEstimate(double driftVariance = kSteadyDriftVariance)
         : m_driftVariance(driftVariance)
     {
--- a/include/eelgrasscleat/Support/Log.h
+++ b/include/eelgrasscleat/Support/Log.h
@@ -42,7 +42,8 @@
 enum class LogSink
 {
     StandardError, ///< Written at once by the calling thread.
-    StandardOutput, ///< Collected until flushLog(), which never blocks; lines are dropped and counted while none are taken.
+    StandardOutput, ///< Collected until flushLog(), which never blocks; lines are dropped and counted while none are
+                    ///< taken.
 };
 
 /// Sets up logging for this process.
--- a/lib/Placement/AdaptivePlacer.h
+++ b/lib/Placement/AdaptivePlacer.h
@@ -2,9 +2,9 @@
 /// The product's own placement policy: joins learned speeds, health and the sharing of slots.
 #pragma once
 
-#include <eelgrasscleat/Placement/HealthTracker.h>
 #include "ServiceTargets.h"
 #include "SlotSharing.h"
+#include <eelgrasscleat/Placement/HealthTracker.h>
 #include <eelgrasscleat/Placement/SpeedModel.h>
 
 #include <eelgrasscleat/Placement/Placer.h>
--- a/lib/Placement/ServiceTargets.h
+++ b/lib/Placement/ServiceTargets.h
@@ -2,8 +2,8 @@
 /// The targets of one service and the decisions among them: which is best now, and whether waiting is better.
 #pragma once
 
-#include <eelgrasscleat/Placement/SpeedModel.h>
 #include "TargetPool.h"
+#include <eelgrasscleat/Placement/SpeedModel.h>
 
 #include <memory>
 #include <optional>
--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -332,14 +332,16 @@
     const auto look = [this, order, report](FakeTarget &target) {
         return target.inspect(order, *report, m_queue.now());
     };
-    carry(look, order.target.name, order.wait + kOrderTimeout, [this, order, report, answer](const OrderResult &result) {
-        const bool mayWait = order.wait.count() > 0 && result.answer == OrderAnswer::Accepted && report->ended.empty();
-        if (mayWait) {
-            waitForEnd(order, report, m_queue.now() + order.wait, answer);
-        } else {
-            answer(result);
-        }
-    });
+    carry(
+        look, order.target.name, order.wait + kOrderTimeout, [this, order, report, answer](const OrderResult &result) {
+            const bool mayWait =
+                order.wait.count() > 0 && result.answer == OrderAnswer::Accepted && report->ended.empty();
+            if (mayWait) {
+                waitForEnd(order, report, m_queue.now() + order.wait, answer);
+            } else {
+                answer(result);
+            }
+        });
 }
 
 /// The target answers when a run ends, or when the time to wait is over.
--- a/unittests/PlatformAdapter/NodeFileTest.cpp
+++ b/unittests/PlatformAdapter/NodeFileTest.cpp
@@ -51,10 +51,8 @@
     void read_missingOrDamagedField_errorNamesIt()
     {
         const std::vector<std::pair<const char *, const char *>> kFields = {
-            { "node = \"front-regina-1\"\n", "node" },
-            { "zone = \"regina\"\n", "zone" },
-            { "front = \"10.1.0.13:8161\"\n", "listen.front" },
-            { "addr = \"10.200.1.7:8169\"\n", "platform.addr" },
+            { "node = \"front-regina-1\"\n", "node" },          { "zone = \"regina\"\n", "zone" },
+            { "front = \"10.1.0.13:8161\"\n", "listen.front" }, { "addr = \"10.200.1.7:8169\"\n", "platform.addr" },
             { "port-range = [7720,7735]\n", "port-range" },
         };
         for (const auto &it : kFields) {
