Ownership: an owner that steps down waits for its runs; refused requests are logged by their id

Whether the hand-over is idle was asked before there was a hand-over. ZoneOwnershipTest.owner_stepsDown_waitsForItsRuns failed first. Ruled out: fencing (no token was fenced in the trace).

--- a/include/eelgrasscleat/Dispatch/ZoneOwnership.h
+++ b/include/eelgrasscleat/Dispatch/ZoneOwnership.h
@@ -115,7 +115,7 @@
 private:
     [[nodiscard]] bool wantsToJoin(const ZoneView &view, Instant now);
     void checkSurplus(const ZoneView &view, std::size_t owners, Instant now);
-    [[nodiscard]] bool wantsToLeave(const ZoneView &view, bool isIdle, Instant now);
+    [[nodiscard]] bool wantsToLeave(const ZoneView &view, bool isIdle, bool wasSteppingDown, Instant now);
     void finishHandover(Instant now);
 
     OwnershipPolicy m_policy;
--- a/lib/Dispatch/ZoneOwnership.cpp
+++ b/lib/Dispatch/ZoneOwnership.cpp
@@ -69,7 +69,8 @@
     }
 }
 
-bool ZoneOwnership::wantsToLeave(const ZoneView &view, bool isIdle, Instant now)
+/// @param wasSteppingDown whether the owner was stepping down when @p isIdle was found: only then that says anything
+bool ZoneOwnership::wantsToLeave(const ZoneView &view, bool isIdle, bool wasSteppingDown, Instant now)
 {
     if (m_shards.empty()) {
         return m_stopping || (view.ownersHeard > 0 && now - m_memberSince > m_policy.standbyDelay);
@@ -83,7 +84,7 @@
         m_handoverAt = now;
     }
     const bool over = m_steppingDown && now - m_handoverAt >= m_policy.handoverTime;
-    return (m_stopping || m_steppingDown) && (isIdle || over);
+    return (m_stopping || wasSteppingDown) && (isIdle || over);
 }
 
 void ZoneOwnership::finishHandover(Instant now)
@@ -113,6 +114,7 @@
     if (view.targetsOwned <= owners * m_policy.targetsPerOwner) {
         m_enoughOwnersAt = now;
     }
+    const bool wasSteppingDown = m_steppingDown;
     if (owners > 0) {
         checkSurplus(view, owners, now);
     }
@@ -129,7 +131,7 @@
         m_generation = 0;
         return MembershipAction::Renew;
     }
-    if (wantsToLeave(view, isIdle, now)) {
+    if (wantsToLeave(view, isIdle, wasSteppingDown, now)) {
         m_inFlight = true;
         m_leaving = true;
         m_shards.clear();
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -66,7 +66,8 @@
                { "dispatcher", dispatcher.value } });
 }
 
-void DecisionLog::jobAnswered(const JobEnd &end, const RouteName &route, Duration took, Instant now)
+void DecisionLog::jobAnswered(
+    const JobEnd &end, const RouteName &route, const std::string &requestId, Duration took, Instant now)
 {
     const std::string outcome(jobOutcomeName(end.outcome));
     const std::string reason(jobEndReasonName(end.reason));
@@ -81,6 +82,7 @@
     writeLog(LogLevel::Info,
              "job answered",
              { { "job", end.id.value },
+               { "request", requestId },
                { "customer", route.value },
                { "outcome", outcome },
                { "reason", reason },
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -76,6 +76,7 @@
     /// A caller's job between its request and its answer.
     struct Arrival
     {
+        JobId job;
         std::string requestId;
         RouteName route;
         Instant at;
@@ -86,7 +87,7 @@
     void advance();
     void recoverFromStandstill(Duration gap);
     void submitJob(CallerRequest &request, const FleetRoute *route);
-    void refuse(CallerId caller, const JobId &id, JobEndReason reason);
+    void refuse(const CallerRequest &request, const JobId &id, JobEndReason reason);
     void applyConfiguration(FleetConfiguration configuration, const std::string &source);
     void advanceOwnership();
     void applyOwnership();
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -29,7 +29,7 @@
         break;
     case JobAction::CountPending:
         if (route == nullptr) {
-            refuse(request.caller, id, JobEndReason::UnknownRoute);
+            refuse(request, id, JobEndReason::UnknownRoute);
         } else {
             m_callers->answerPending(request.caller, m_home.openJobs(route->name));
         }
@@ -38,26 +38,24 @@
     settle();
 }
 
-void DispatchNode::Impl::refuse(CallerId caller, const JobId &id, JobEndReason reason)
+void DispatchNode::Impl::refuse(const CallerRequest &request, const JobId &id, JobEndReason reason)
 {
     JobEnd end;
     end.id = id;
     end.outcome = JobOutcome::Refused;
     end.reason = reason;
     end.retryAfter = m_settings.home.takeoverPause;
-    m_log.jobAnswered(end, RouteName(), Duration::zero(), m_now);
-    m_callers->answerEnd(caller, end);
+    m_log.jobAnswered(end, RouteName(), request.requestId, Duration::zero(), m_now);
+    m_callers->answerEnd(request.caller, end);
 }
 
 void DispatchNode::Impl::submitJob(CallerRequest &request, const FleetRoute *route)
 {
-    const JobId none;
-    if (!m_configuration.isKnown()) {
-        refuse(request.caller, none, JobEndReason::NoConfiguration);
-        return;
-    }
     if (route == nullptr) {
-        refuse(request.caller, none, JobEndReason::UnknownRoute);
+        // Without a route the part of the path that names the job isn't known; its last one mostly does.
+        const JobId last(request.path.substr(request.path.rfind('/') + 1));
+        const bool isKnown = m_configuration.isKnown();
+        refuse(request, last, isKnown ? JobEndReason::UnknownRoute : JobEndReason::NoConfiguration);
         return;
     }
     JobId id(request.path.substr(route->pathPrefix.size()));
@@ -69,11 +67,11 @@
                         { "request", request.requestId },
                         { "detail", error != nullptr ? error->detail : "the path names no job" } });
         const bool unsupported = error != nullptr && error->code == ErrorCode::Refused;
-        refuse(request.caller, id, unsupported ? JobEndReason::Unsupported : JobEndReason::Malformed);
+        refuse(request, id, unsupported ? JobEndReason::Unsupported : JobEndReason::Malformed);
         return;
     }
     if (request.mustBeStored) {
-        refuse(request.caller, id, JobEndReason::Unsupported);
+        refuse(request, id, JobEndReason::Unsupported);
         return;
     }
     job->id = id;
@@ -90,7 +88,7 @@
         // What can't end before this instance does is refused now, and the rest is answered in time.
         job->deadline = std::min(job->deadline, m_stopBegan + m_settings.answerTime);
     }
-    m_arrivals[request.caller] = { request.requestId, route->name, m_now };
+    m_arrivals[request.caller] = { id, request.requestId, route->name, m_now };
     m_home.submit(request.caller, std::move(*job), m_now);
 }
 
@@ -100,9 +98,10 @@
     const auto it = m_arrivals.find(caller);
     if (it != m_arrivals.end()) {
         JobEnd end;
+        end.id = it->second.job;
         end.outcome = JobOutcome::Canceled;
         end.reason = JobEndReason::CallerGone;
-        m_log.jobAnswered(end, it->second.route, m_now - it->second.at, m_now);
+        m_log.jobAnswered(end, it->second.route, it->second.requestId, m_now - it->second.at, m_now);
         m_arrivals.erase(it);
     }
     m_home.callerGone(caller);
@@ -135,7 +134,7 @@
 {
     const auto it = m_arrivals.find(caller);
     if (it != m_arrivals.end()) {
-        m_log.jobAnswered(end, it->second.route, m_now - it->second.at, m_now);
+        m_log.jobAnswered(end, it->second.route, it->second.requestId, m_now - it->second.at, m_now);
         m_arrivals.erase(it);
     }
     m_callers->answerEnd(caller, end);
--- a/unittests/Dispatch/ZoneOwnershipTest.cpp
+++ b/unittests/Dispatch/ZoneOwnershipTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(standby_withoutProcessorTime_neverHelps);
     CPPUNIT_TEST(owner_surplusAndLastByName_stepsDown);
     CPPUNIT_TEST(owner_surplusButNotLast_stays);
+    CPPUNIT_TEST(owner_stepsDown_waitsForItsRuns);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -174,6 +175,24 @@
         CPPUNIT_ASSERT(!leavesAmong({ 1, 30, false, true, true }));
     }
 
+    void owner_stepsDown_waitsForItsRuns()
+    {
+        becomeOwner(7);
+        const ZoneView surplus { 1, 30, true, true, true };
+        while (!m_ownership.isHandingOver(0)) {
+            // Nothing is handed over yet, so there is nothing that is not idle.
+            const MembershipAction action = advance(surplus, true);
+            CPPUNIT_ASSERT(action != MembershipAction::Leave);
+            if (action == MembershipAction::Renew) {
+                m_ownership.renewed({ 7, kAll, true }, m_now);
+            }
+            m_now += std::chrono::milliseconds(100);
+        }
+        CPPUNIT_ASSERT(advance(surplus, false) != MembershipAction::Leave);
+        m_ownership.renewed({ 7, kAll, true }, m_now);
+        CPPUNIT_ASSERT(advance(surplus, true) == MembershipAction::Leave);
+    }
+
 private:
     static ZoneView owned(std::size_t owners)
     {
