--- a/unittests/Dispatch/ZoneOwnershipTest.cpp
+++ b/unittests/Dispatch/ZoneOwnershipTest.cpp
@@ -112,6 +112,9 @@
         CPPUNIT_ASSERT(advance(unheard(), true) == MembershipAction::Renew);
         m_ownership.renewed({ 8, { 0 }, false }, m_now);
         m_now += std::chrono::milliseconds(900);
+        CPPUNIT_ASSERT(advance(unheard(), true) == MembershipAction::Renew);
+        CPPUNIT_ASSERT_MESSAGE("it starts nothing more", m_ownership.isHandingOver(0));
+        m_ownership.renewed({ 8, { 0 }, false }, m_now);
         CPPUNIT_ASSERT(advance(unheard(), true) == MembershipAction::Leave);
         m_ownership.left();
         CPPUNIT_ASSERT(!token());
