Log: a refusal for lateness says from what it was decided

Cause: 'too_late' named no inputs, so that on-call engineers could not see whether the queue or the deadline decided it. Change: the dispatcher writes the expected wait, the expected run, what is left and the tasks that wait.

--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -53,6 +53,15 @@
     bool operator==(const DispatcherLoad &) const = default;
 };
 
+/// What a dispatcher knew when it found that a job would end too late.
+struct LatenessInputs
+{
+    Duration wait {}; ///< Expected until the job has room.
+    Duration run {}; ///< Expected of its longest chain on the reference target.
+    Duration left {}; ///< Until its end gains nothing.
+    std::uint32_t queuedTasks = 0; ///< At its priority or before it.
+};
+
 /// What a dispatcher tells its surroundings. Implementations must not call back into the dispatcher.
 class DispatcherObserver
 {
@@ -60,6 +69,8 @@
     virtual ~DispatcherObserver() = default;
     /// A job has ended; each submitted job ends once.
     virtual void jobEnded(const InstanceName &home, const JobEnd &end) = 0;
+    /// A job is refused because it would end too late: for logs; jobEnded() follows.
+    virtual void jobTooLate(const JobId &id, const LatenessInputs &inputs) = 0;
     /// A decision about a run: for logs and counters.
     virtual void runDecided(std::string_view decision, const RunName &run, const TargetName &target, double detail) = 0;
     /// A target knows a higher token: another instance owns the targets that were owned under @p token.
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -81,15 +81,25 @@
 }
 
 /// A job that has missed its objective comes after all of its priority that have not, also those that arrive later.
-/// @returns whether it can't end any more while its caller gains from it.
-bool Dispatcher::Impl::isHopeless(const BoardJob &job, Instant now) const
+/// @returns the time until it has room.
+Duration Dispatcher::Impl::waitOf(const BoardJob &job, Instant now) const
 {
-    Duration wait {};
-    if (now + job.chain > job.objective) {
-        const std::uint32_t priority = job.request.priority;
-        wait = waitBehind(priority, m_board.arrivingBefore(priority + 1, now), now);
+    if (now + job.chain <= job.objective) {
+        return {};
     }
-    return now + wait + job.chain > job.uselessAt;
+    const std::uint32_t priority = job.request.priority;
+    return waitBehind(priority, m_board.arrivingBefore(priority + 1, now), now);
+}
+
+void Dispatcher::Impl::refuseTooLate(BoardJob &job, Duration wait, Instant now)
+{
+    LatenessInputs inputs;
+    inputs.wait = wait;
+    inputs.run = job.chain;
+    inputs.left = job.uselessAt - now;
+    inputs.queuedTasks = m_board.queued(job.request.priority).tasks;
+    m_observer.jobTooLate(job.request.id, inputs);
+    giveUp(job, JobOutcome::Refused, JobEndReason::TooLate, now);
 }
 
 void Dispatcher::Impl::submit(const JobOrigin &origin, JobRequest request, Instant now)
@@ -116,7 +126,7 @@
     const Duration wait = expectedWait(request, now);
     BoardJob &job = m_board.add(origin, std::move(request), m_policy);
     if (now + wait + job.chain > job.uselessAt) {
-        giveUp(job, JobOutcome::Refused, JobEndReason::TooLate, now);
+        refuseTooLate(job, wait, now);
         return;
     }
     placeWaiting(now);
@@ -248,7 +258,7 @@
         BoardJob &job = *it.second;
         if (now >= job.request.deadline) {
             late.push_back(&job);
-        } else if (job.mayHaveRun == 0 && isHopeless(job, now)) {
+        } else if (job.mayHaveRun == 0 && now + waitOf(job, now) + job.chain > job.uselessAt) {
             hopeless.push_back(&job);
         }
     }
@@ -257,7 +267,7 @@
         giveUp(*it, outcome, JobEndReason::DeadlinePassed, now);
     }
     for (BoardJob *it : hopeless) {
-        giveUp(*it, JobOutcome::Refused, JobEndReason::TooLate, now);
+        refuseTooLate(*it, waitOf(*it, now), now);
     }
 }
 
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -59,7 +59,8 @@
     void giveUp(BoardJob &job, JobOutcome outcome, JobEndReason reason, Instant now);
     [[nodiscard]] Duration expectedWait(const JobRequest &request, Instant now);
     [[nodiscard]] Duration waitBehind(std::uint32_t priority, double arriving, Instant now) const;
-    [[nodiscard]] bool isHopeless(const BoardJob &job, Instant now) const;
+    [[nodiscard]] Duration waitOf(const BoardJob &job, Instant now) const;
+    void refuseTooLate(BoardJob &job, Duration wait, Instant now);
     [[nodiscard]] double serviceRate(Instant now) const;
     void placeWaiting(Instant now);
     bool placeTasks(BoardJob &job, Instant now);
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -90,6 +90,20 @@
                { "retry_ms", milliseconds(end.retryAfter) } });
 }
 
+void DecisionLog::jobTooLate(const JobId &id, const LatenessInputs &inputs, Instant now)
+{
+    if (!mayWrite(now)) {
+        return;
+    }
+    writeLog(LogLevel::Info,
+             "job too late",
+             { { "job", id.value },
+               { "wait_ms", milliseconds(inputs.wait) },
+               { "run_ms", milliseconds(inputs.run) },
+               { "left_ms", milliseconds(inputs.left) },
+               { "queued_tasks", std::uint64_t { inputs.queuedTasks } } });
+}
+
 void DecisionLog::runDecided(
     std::string_view decision, const RunName &run, const TargetName &target, double detail, Instant now)
 {
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -68,6 +68,7 @@
 
     // What the dispatcher decides.
     void jobEnded(const InstanceName &home, const JobEnd &end) override;
+    void jobTooLate(const JobId &id, const LatenessInputs &inputs) override;
     void runDecided(std::string_view decision, const RunName &run, const TargetName &target, double detail) override;
     void tokenFenced(FencingToken token, const TargetName &target) override;
     void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail) override;
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -149,6 +149,11 @@
     m_local.emplace_back([this, end] { m_home.jobEnded(m_settings.self.name, end, m_now); });
 }
 
+void DispatchNode::Impl::jobTooLate(const JobId &id, const LatenessInputs &inputs)
+{
+    m_log.jobTooLate(id, inputs, m_now);
+}
+
 void DispatchNode::Impl::runDecided(std::string_view decision,
                                     const RunName &run,
                                     const TargetName &target,
--- a/unittests/Dispatch/DispatcherLoadTest.cpp
+++ b/unittests/Dispatch/DispatcherLoadTest.cpp
@@ -86,6 +86,9 @@
             tally.longestToRefusal = std::max(tally.longestToRefusal, queue.now() - job.submitted);
         }
     }
+    void jobTooLate(const JobId &, const LatenessInputs &) override
+    {
+    }
     void runDecided(std::string_view decision, const RunName &, const TargetName &target, double) override
     {
         if (decision == "start") {
--- a/unittests/Dispatch/OwnerScheduleTest.cpp
+++ b/unittests/Dispatch/OwnerScheduleTest.cpp
@@ -42,6 +42,9 @@
             ended(end);
         }
     }
+    void jobTooLate(const JobId &, const LatenessInputs &) override
+    {
+    }
     void runDecided(std::string_view, const RunName &, const TargetName &, double) override
     {
     }
