--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -44,7 +44,7 @@
 {
     if (OwnedTarget *owned = find(target.name)) {
         const bool wasDraining = owned->ledger.target().draining;
-        applyFindings(*owned, owned->ledger.update(target), now);
+        owned->ledger.update(target);
         if (target.draining != wasDraining) {
             m_observer.targetChanged(target.draining ? "draining" : "ready", target.name, target.incarnation);
         }
--- a/lib/Dispatch/TargetLedger.cpp
+++ b/lib/Dispatch/TargetLedger.cpp
@@ -31,19 +31,14 @@
 {
 }
 
-ReportFindings TargetLedger::update(const DispatchTarget &target)
+void TargetLedger::update(const DispatchTarget &target)
 {
-    ReportFindings findings;
     m_target = target;
-    // An entry that is older than what the target said of itself changes nothing about its runs.
-    if (target.incarnation > m_incarnation) {
-        if (m_incarnation != 0) {
-            restart(findings);
-            inspected = false;
-        }
-        m_incarnation = target.incarnation;
+    // The list lags: only the target's own report tells which runs are of its new incarnation.
+    if (target.incarnation > m_incarnation && m_incarnation != 0) {
+        inspected = false;
+        nextInspectAt = Instant {};
     }
-    return findings;
 }
 
 void TargetLedger::renewToken(FencingToken token)
@@ -74,30 +69,33 @@
     m_runs.erase(name);
 }
 
-void TargetLedger::restart(ReportFindings &findings)
+/// Runs that were accepted before the report was asked for are gone with the earlier incarnation. The new one may have
+/// accepted those after it, and may yet carry out orders that are under way.
+void TargetLedger::restart(Instant sentAt, ReportFindings &findings)
 {
     findings.restarted = true;
-    std::map<RunName, LedgerRun> underway;
+    std::map<RunName, LedgerRun> remaining;
     for (auto &it : m_runs) {
-        if (it.second.state == RunState::Starting) {
-            // Its order may yet arrive, and be carried out by the new incarnation.
+        const bool isUnsure = it.second.state != RunState::Running || it.second.startedAt >= sentAt;
+        if (isUnsure) {
             findings.unsure.push_back(it.first);
-            underway.emplace(it.first, std::move(it.second));
+            remaining.emplace(it.first, std::move(it.second));
         } else {
             findings.vanished.emplace_back(it.first, std::move(it.second));
         }
     }
-    m_runs = std::move(underway);
+    m_runs = std::move(remaining);
     m_lastEnd = 0;
     acknowledged = 0;
     m_hasClock = false;
+    m_leaseEnd = TargetTime(0); // On the clock of the earlier incarnation.
 }
 
 ReportFindings TargetLedger::reconcile(const TargetReport &report, Instant sentAt, Instant now)
 {
     ReportFindings findings;
     if (report.incarnation != 0 && m_incarnation != 0 && report.incarnation != m_incarnation) {
-        restart(findings);
+        restart(sentAt, findings);
     }
     if (report.incarnation != 0) {
         m_incarnation = report.incarnation;
--- a/lib/Dispatch/TargetLedger.h
+++ b/lib/Dispatch/TargetLedger.h
@@ -54,7 +54,7 @@
     std::vector<End> ended;
     std::vector<std::pair<RunName, LedgerRun>> vanished; ///< Neither at work nor listed as ended.
     std::vector<RunName> unknown; ///< At work, but not ordered by this owner; now in the ledger as stopping.
-    std::vector<RunName> unsure; ///< Their start orders were under way when the target started again.
+    std::vector<RunName> unsure; ///< The target started again, and its new incarnation may run them.
     bool restarted = false; ///< The target is another incarnation; nothing of before is at work.
 };
 
@@ -64,8 +64,8 @@
 public:
     explicit TargetLedger(DispatchTarget target, FencingToken token);
 
-    /// Takes in a newer description. @returns what follows if it tells that the target started again.
-    ReportFindings update(const DispatchTarget &target);
+    /// Takes in a newer description. One that tells of a restart asks for an inspection before any further start.
+    void update(const DispatchTarget &target);
     /// Owner's token rose: the target has to be inspected under it before it gets work.
     void renewToken(FencingToken token);
 
@@ -132,7 +132,7 @@
     SpeedEstimate speed;
 
 private:
-    void restart(ReportFindings &findings);
+    void restart(Instant sentAt, ReportFindings &findings);
     [[nodiscard]] TargetTime clockAt(Instant now) const;
 
     DispatchTarget m_target;
--- a/unittests/Dispatch/OwnerScheduleTest.cpp
+++ b/unittests/Dispatch/OwnerScheduleTest.cpp
@@ -80,6 +80,32 @@
         return m_fleet;
     }
 
+    /// Two owners of half the targets each; the home of the first one's jobs dies, its callers come again at the
+    /// second, and the first may lose its targets meanwhile, so that only leases end what runs there.
+    void runHomeLoss()
+    {
+        ownHalf(m_first, 0);
+        ownHalf(m_second, 1);
+        m_owner = &m_first;
+        tick(m_first);
+        tick(m_second);
+        for (int i = 0; i < 30; ++i) {
+            m_queue.after(std::chrono::milliseconds(100 + i * 50), [this, i] { submitNew(i); });
+        }
+        RandomSource &random = m_fleet.random;
+        const Duration death = std::chrono::milliseconds(600 + drawBelow(random, 1000));
+        m_queue.after(death, [this] {
+            m_first.reachable = false;
+            giveUp(m_first);
+            m_owner = &m_second;
+        });
+        if (drawBelow(random, 2) == 0) {
+            m_queue.after(death + std::chrono::milliseconds(drawBelow(random, 700)),
+                          [this] { m_first.orders.cutOff = true; });
+        }
+        m_queue.runUntil(m_queue.now() + std::chrono::seconds(8));
+    }
+
     void run()
     {
         own(m_first, FencingToken(1));
@@ -119,6 +145,13 @@
         }
     }
 
+    void ownHalf(Owner &owner, std::size_t half)
+    {
+        for (std::size_t i = half; i < m_fleet.targets.size(); i += 2) {
+            owner.dispatcher.targetOwned(m_fleet.targets[i].description, FencingToken(1), m_queue.now());
+        }
+    }
+
     void tick(Owner &owner)
     {
         if (!owner.orders.frozen) {
@@ -204,9 +237,12 @@
         const auto when = [&random] { return std::chrono::milliseconds(500 + drawBelow(random, 5000)); };
         const std::uint64_t kind = drawBelow(random, 4);
         m_queue.after(when(), [this, kind] { loseOwner(kind); });
-        m_queue.after(when(), [this] {
-            m_fleet.targets[drawBelow(m_fleet.random, m_fleet.targets.size())].restart(m_queue.now());
-        });
+        constexpr int kRestarts = 8;
+        for (int i = 0; i < kRestarts; ++i) {
+            m_queue.after(when(), [this] {
+                m_fleet.targets[drawBelow(m_fleet.random, m_fleet.targets.size())].restart(m_queue.now());
+            });
+        }
         m_queue.after(when(), [this] { m_fleet.targets[0].hangs = true; });
         m_queue.after(when(), [this] { m_fleet.targets[1].failsAll = true; });
     }
@@ -250,6 +286,7 @@
 {
     CPPUNIT_TEST_SUITE(OwnerScheduleTest);
     CPPUNIT_TEST(orders_lostAndLate_promisesHold);
+    CPPUNIT_TEST(home_diesAndTargetsAreCutOff_nothingAtWorkTwice);
     CPPUNIT_TEST(orders_allAnswered_jobsComplete);
     CPPUNIT_TEST_SUITE_END();
 
@@ -268,6 +305,19 @@
         }
     }
 
+    void home_diesAndTargetsAreCutOff_nothingAtWorkTwice()
+    {
+        constexpr std::uint64_t kSeeds = 300;
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            OwnerSchedule schedule(seed);
+            schedule.fleet().faults = { 0.01, 0.01, 0 };
+            schedule.runHomeLoss();
+            const auto &violations = schedule.fleet().violations();
+            const std::string where = "seed " + std::to_string(seed) + ": ";
+            CPPUNIT_ASSERT_MESSAGE(where + (violations.empty() ? "" : violations.front()), violations.empty());
+        }
+    }
+
     void orders_allAnswered_jobsComplete()
     {
         constexpr std::uint64_t kSeeds = 50;
