--- /dev/null
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -0,0 +1,264 @@
+/// @file
+/// One instance with fakes around it: it owns its zone, serves a job, and answers every caller before a planned stop
+/// ends.
+#include "../Wire/EventLoop.h"
+
+#include <eelgrasscleat/Node/DispatchNode.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+
+namespace Eelgrasscleat
+{
+
+/// Keeps what callers are answered.
+class RecordingCallers : public CallerPort
+{
+public:
+    void answerEnd(CallerId caller, const JobEnd &end) override
+    {
+        ends[caller.value] = end;
+    }
+    void answerState(CallerId, bool) override
+    {
+    }
+    void answerPending(CallerId, std::uint32_t) override
+    {
+    }
+    void setReady(bool value) override
+    {
+        ready = value;
+    }
+    void setLimits(const FleetConfiguration &) override
+    {
+    }
+    void abortAll() override
+    {
+    }
+    void closeAfterAnswers() override
+    {
+        closing = true;
+    }
+    [[nodiscard]] bool isIdle() const override
+    {
+        return true;
+    }
+
+    std::map<std::uint64_t, JobEnd> ends;
+    bool ready = false;
+    bool closing = false;
+};
+
+/// Gives the instance all shards of its zone at once.
+class GenerousStore : public CoordinationStore
+{
+public:
+    void start() override
+    {
+    }
+    void announce(const AnnouncedInstance &) override
+    {
+    }
+    void withdraw(const InstanceName &, std::function<void()> done) override
+    {
+        done();
+    }
+    void followTargets(bool) override
+    {
+    }
+    void renewMembership(std::uint64_t,
+                         std::chrono::milliseconds,
+                         std::function<void(Result<MembershipAnswer>)> done) override
+    {
+        done(MembershipAnswer { 5, { 0 }, true });
+    }
+    void leaveGroup(std::function<void(Result<Done>)> done) override
+    {
+        done(Done {});
+    }
+};
+
+/// Targets that accept all, and whose runs end when told.
+class PatientTargets : public TargetOrders
+{
+public:
+    void start(const StartOrder &order) override
+    {
+        started.push_back(order.run);
+        events->startAnswered(order.target.name, order.run, { OrderAnswer::Accepted, TargetTime(1), true });
+    }
+    void stop(const StopOrder &order) override
+    {
+        stopped.push_back(order.run);
+        events->stopAnswered(order.target.name, order.run, { OrderAnswer::Accepted, TargetTime(1), true });
+    }
+    void inspect(const InspectOrder &order) override
+    {
+        inspections.push_back(order);
+    }
+    /// Answers the last inspection.
+    void report(const TargetReport &report)
+    {
+        const InspectOrder order = inspections.back();
+        events->inspected(order.target.name, report, { OrderAnswer::Accepted, TargetTime(1), true });
+    }
+
+    OrderEvents *events = nullptr;
+    std::vector<RunName> started;
+    std::vector<RunName> stopped;
+    std::vector<InspectOrder> inspections;
+};
+
+class DispatchNodeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatchNodeTest);
+    CPPUNIT_TEST(job_ofOwnCaller_answeredWhenItsTasksEnd);
+    CPPUNIT_TEST(job_beforeConfiguration_refused);
+    CPPUNIT_TEST(job_onUnknownRoute_refusedAsSuch);
+    CPPUNIT_TEST(stop_jobOpen_callerAnsweredFirst);
+    CPPUNIT_TEST(stop_jobArrivesLate_answeredBeforeEnd);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        EventLoop::prepare();
+        NodeSettings settings;
+        settings.self = { InstanceName("front-1"), ZoneName("zone"), "127.0.0.1", 0 };
+        settings.shards = 1;
+        settings.ownership.takeoverDelay = std::chrono::milliseconds(50);
+        settings.rotationTime = std::chrono::milliseconds(100);
+        settings.answerTime = std::chrono::milliseconds(400);
+        settings.stopTime = std::chrono::milliseconds(800);
+        m_targets = PatientTargets();
+        m_callers = RecordingCallers();
+        m_node = std::make_unique<DispatchNode>(settings, m_targets, m_metrics, 1);
+        m_targets.events = &m_node->orderEvents();
+        CPPUNIT_ASSERT(isOk(m_node->start(m_callers, m_store)));
+    }
+
+    void tearDown() override
+    {
+        m_node.reset();
+    }
+
+    void job_ofOwnCaller_answeredWhenItsTasksEnd()
+    {
+        becomeReady();
+        submit(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_targets.started.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("job1"), m_targets.started[0].task.job.value);
+        TargetReport report;
+        report.ended.push_back({ 1, m_targets.started[0], RunEndKind::Done });
+        m_targets.report(report);
+        CPPUNIT_ASSERT(m_callers.ends.at(1).outcome == JobOutcome::Complete);
+    }
+
+    void job_beforeConfiguration_refused()
+    {
+        submit(1);
+        CPPUNIT_ASSERT(m_callers.ends.at(1).reason == JobEndReason::NoConfiguration);
+        CPPUNIT_ASSERT(!m_callers.ready);
+    }
+
+    void job_onUnknownRoute_refusedAsSuch()
+    {
+        becomeReady();
+        submit(1, "elsewhere");
+        CPPUNIT_ASSERT(m_callers.ends.at(1).reason == JobEndReason::UnknownRoute);
+    }
+
+    void stop_jobOpen_callerAnsweredFirst()
+    {
+        becomeReady();
+        submit(1);
+        stopAndWait();
+        CPPUNIT_ASSERT_MESSAGE("an open job is answered before the process ends", m_answeredBeforeStop.count(1) == 1);
+        CPPUNIT_ASSERT(m_callers.ends.at(1).outcome != JobOutcome::Refused);
+    }
+
+    void stop_jobArrivesLate_answeredBeforeEnd()
+    {
+        becomeReady();
+        submit(1);
+        bool isStopped = false;
+        m_node->beginStop([this, &isStopped] {
+            isStopped = true;
+            m_answeredBeforeStop = m_callers.ends;
+        });
+        EventLoop::waitFor([this] { return m_callers.closing; });
+        CPPUNIT_ASSERT_MESSAGE("the open job keeps the instance", !isStopped);
+        submit(2);
+        EventLoop::waitFor([&isStopped] { return isStopped; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_answeredBeforeStop.count(2));
+    }
+
+private:
+    void becomeReady()
+    {
+        FleetConfiguration configuration;
+        configuration.version = ConfigVersion(1);
+        FleetRoute route;
+        route.name = RouteName("route");
+        route.host = "host";
+        route.pathPrefix = "/jobs/";
+        route.service = ServiceName("service");
+        route.timeout = std::chrono::seconds(20);
+        route.stretch = 1000;
+        configuration.routes.push_back(route);
+        m_node->storeEvents().configurationRead(configuration);
+        DispatchTarget target;
+        target.name = TargetName("target");
+        target.service = ServiceName("service");
+        target.zone = ZoneName("zone");
+        target.capacity = { 4000, 4000, 0 };
+        EventLoop::waitFor([&] {
+            m_node->storeEvents().targetRead(target);
+            if (!m_targets.inspections.empty() && !m_reported) {
+                m_reported = true;
+                m_targets.report(TargetReport());
+            }
+            return m_callers.ready;
+        });
+    }
+
+    void submit(std::uint64_t caller, const std::string &host = "host")
+    {
+        JobRequest job;
+        job.payload = "payload";
+        JobStep step;
+        step.demand = { 1000, 10, 0 };
+        step.estimate = std::chrono::milliseconds(100);
+        job.steps.push_back(step);
+        CallerRequest request;
+        request.caller = CallerId(caller);
+        request.host = host;
+        request.path = "/jobs/job" + std::to_string(caller);
+        request.job = job;
+        m_node->callerEvents().requestArrived(request);
+    }
+
+    void stopAndWait()
+    {
+        bool isStopped = false;
+        m_node->beginStop([this, &isStopped] {
+            isStopped = true;
+            m_answeredBeforeStop = m_callers.ends;
+        });
+        EventLoop::waitFor([&isStopped] { return isStopped; });
+    }
+
+    Metrics m_metrics;
+    PatientTargets m_targets;
+    RecordingCallers m_callers;
+    GenerousStore m_store;
+    std::unique_ptr<DispatchNode> m_node;
+    std::map<std::uint64_t, JobEnd> m_answeredBeforeStop;
+    bool m_reported = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchNodeTest);
+
+} // namespace Eelgrasscleat
