--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -48,7 +48,7 @@
     std::uint64_t totalMilliCores = 0;
     std::uint64_t freeMilliCores = 0;
     std::uint32_t largestMilliCores = 0; ///< Largest capacity of one target.
-    std::uint64_t queuedCoreMillis = 0; ///< Work of waiting tasks, in milliseconds of a thousandth of a core / 1000.
+    std::uint64_t queuedCoreMillis = 0; ///< Expected work of waiting tasks, in core-milliseconds.
     bool draining = false;
     bool operator==(const DispatcherLoad &) const = default;
 };
@@ -107,10 +107,8 @@
     void homeHeard(const InstanceName &home, Instant now);
     /// A home is gone, or its session ended: its jobs are stopped.
     void homeLost(const InstanceName &home, Instant now);
-    /// Planned stop, or hand-over of the targets: waiting jobs are refused, running ones end.
+    /// Planned stop: waiting jobs are refused, running ones end.
     void drain(Instant now);
-    /// The targets stay after all.
-    void resume();
     /// @returns whether no job is left and no run may be at work.
     [[nodiscard]] bool isDrained() const;
 
@@ -124,10 +122,6 @@
     void advance(Instant now);
 
     [[nodiscard]] DispatcherLoad load() const;
-    /// @returns jobs of a route of which no task has started.
-    [[nodiscard]] std::uint32_t pendingJobs(const RouteName &route) const;
-    /// @returns jobs that have not ended.
-    [[nodiscard]] std::size_t jobCount() const;
 
 private:
     class Impl;
--- a/include/eelgrasscleat/Dispatch/JobHome.h
+++ b/include/eelgrasscleat/Dispatch/JobHome.h
@@ -50,7 +50,7 @@
     JobHome(const JobHomePolicy &policy, ZoneName zone, JobHomeObserver &observer);
 
     /// A caller's job.
-    void submit(CallerId caller, JobRequest request, Instant now);
+    void submit(CallerId caller, JobRequest request);
     /// The caller closed its connection or canceled.
     void callerGone(CallerId caller);
     /// A dispatcher ended a job.
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -353,11 +353,6 @@
     return names;
 }
 
-void Dispatcher::resume()
-{
-    m_impl->m_draining = false;
-}
-
 void Dispatcher::submit(const JobOrigin &origin, JobRequest request, Instant now)
 {
     m_impl->m_lastNow = now;
@@ -430,17 +425,4 @@
     return m_impl->load(m_impl->m_lastNow);
 }
 
-std::uint32_t Dispatcher::pendingJobs(const RouteName &route) const
-{
-    return static_cast<std::uint32_t>(
-        std::count_if(m_impl->m_board.jobs().begin(), m_impl->m_board.jobs().end(), [&route](const auto &it) {
-            return it.second->request.route == route && it.second->mayHaveRun == 0;
-        }));
-}
-
-std::size_t Dispatcher::jobCount() const
-{
-    return m_impl->m_board.jobs().size();
-}
-
 } // namespace Eelgrasscleat
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -1,5 +1,6 @@
 /// @file
-/// State of a dispatcher. Jobs and admission stand in Dispatcher.cpp, runs and targets in DispatcherRuns.cpp.
+/// State of a dispatcher. Jobs and admission stand in Dispatcher.cpp, runs in DispatcherRuns.cpp,
+/// targets in DispatcherTargets.cpp.
 #pragma once
 
 #include "JobBoard.h"
--- a/lib/Dispatch/JobHome.cpp
+++ b/lib/Dispatch/JobHome.cpp
@@ -42,9 +42,8 @@
 {
 }
 
-void JobHome::submit(CallerId caller, JobRequest request, Instant now)
+void JobHome::submit(CallerId caller, JobRequest request)
 {
-    static_cast<void>(now);
     const std::uint64_t ticket = ++m_lastTicket;
     OpenJob &job = m_open[ticket];
     job.caller = caller;
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -89,7 +89,7 @@
         job->deadline = std::min(job->deadline, m_stopBegan + m_settings.answerTime);
     }
     m_arrivals[request.caller] = { id, request.requestId, route->name, m_now };
-    m_home.submit(request.caller, std::move(*job), m_now);
+    m_home.submit(request.caller, std::move(*job));
 }
 
 void DispatchNode::Impl::callerGone(CallerId caller)
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -178,13 +178,6 @@
     return view;
 }
 
-std::size_t PeerLink::peersHeard(Instant now) const
-{
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto &it) {
-        return it.second.up && now - it.second.heardAt < kFarInterval * 2;
-    }));
-}
-
 void PeerLink::statusArrived(const InstanceName &name, Peer &peer, const schema::DispatchStatus &message)
 {
     if (message.session() != peer.heardSession) {
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -61,8 +61,6 @@
     void advance(const SelfStatus &status, Instant now);
     /// @returns what is known of this instance's zone.
     [[nodiscard]] ZoneView zoneView(Instant now) const;
-    /// @returns peers that were heard from lately.
-    [[nodiscard]] std::size_t peersHeard(Instant now) const;
 
     void peerMessageArrived(schema::PeerMessage message) override;
     void peerStreamChanged(const InstanceName &peer, bool up) override;
--- a/unittests/Dispatch/JobHomeTest.cpp
+++ b/unittests/Dispatch/JobHomeTest.cpp
@@ -179,7 +179,7 @@
         request.steps.push_back(step);
         request.submitted = m_now;
         request.deadline = m_now + std::chrono::seconds(2);
-        m_home.submit(CallerId(caller), request, m_now);
+        m_home.submit(CallerId(caller), request);
     }
 
     void refuse(const std::string &dispatcher)
