Sessions with selected peers instead of all; owners by what an instance can carry

Cause: every instance was connected to every other, and each owner exchanged a status with all of them every 80 ms.

Now PeerSelector chooses whom to hold sessions with: candidates of the zone, up to three of its owners, two owners elsewhere that are drawn anew from time to time, and whoever has chosen this instance. Statuses that carry no jobs go every 200 ms, and list known owners every 600 ms.

Found on the way, each with a test that failed first: at a start all instances of a zone joined its group, because each took the part of the list that it had read for the whole (isSettled) and because a member that waits for its shards counted neither as owner nor as candidate (isCandidate); surplus owners left one by one, moving shards each time, for 16 s (precedingOwners); a session's first message was logged as a restart.

--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -73,6 +73,8 @@
     [[nodiscard]] std::size_t openJobs() const;
     /// @returns the number of dispatchers that accept jobs.
     [[nodiscard]] std::size_t dispatcherCount() const;
+    /// @returns the dispatchers with open jobs of this instance.
+    [[nodiscard]] std::set<InstanceName> dispatchersInUse() const;
     /// @returns whether a job with this identifier is open.
     [[nodiscard]] bool isOpen(const JobId &id) const;
     /// Cancels a job by its identifier. @returns whether it was open.
--- a/include/eelgrasscleat/Dispatch/ZoneOwnership.h
+++ b/include/eelgrasscleat/Dispatch/ZoneOwnership.h
@@ -5,6 +5,7 @@
 /// can only be placed on the targets of a single owner. Contains no clock, thread or socket.
 #pragma once
 
+#include <eelgrasscleat/Dispatch/InstanceCapacity.h>
 #include <eelgrasscleat/Dispatch/JobTypes.h>
 
 #include <cstddef>
@@ -35,17 +36,15 @@
     /// An instance joins after this long without contact to any owner, if not all of its zone's instances are
     /// reachable: an unreachable one may be the owner.
     Duration takeoverDelay = std::chrono::milliseconds(500);
-    /// Added to takeoverDelay on an instance with little processor time, so that others take over first.
-    Duration extraTakeoverDelay {};
-    /// When the owners have had more than maxTargetsPerOwner targets each for this long, the first instances by name
+    /// Added to takeoverDelay if ZoneView::takesOverLate is set: two takeovers.
+    Duration extraTakeoverDelay = std::chrono::milliseconds(1500);
+    /// When the owners have had more targets each than planned for this long, the first instances in the order of owners
     /// join, as many as are needed. Covers two status messages from each owner.
     Duration scaleOutDelay = std::chrono::milliseconds(200);
     /// After this long the other instances join, too: the preceding ones may not see the overload.
     Duration fallbackScaleOutDelay = std::chrono::milliseconds(1500);
-    /// Maximum number of targets per owner while other instances could join: at the users' load they take an eighth of
-    /// a core.
-    std::size_t maxTargetsPerOwner = 48;
-    /// The last owner by name steps down when the others have had capacity for its targets for this long.
+    /// The last owners in the order of owners step down when the preceding ones have had capacity for all targets for
+    /// this long.
     Duration scaleInDelay = std::chrono::milliseconds(2000);
     /// A member without shards leaves after this long if there is an owner.
     Duration idleMemberTimeout = std::chrono::milliseconds(1000);
@@ -53,8 +52,6 @@
     Duration handoverTime = std::chrono::milliseconds(1500);
     /// Time for which an instance doesn't rejoin after it has stepped down.
     Duration rejoinDelay = std::chrono::seconds(3);
-    /// Whether the instance has the processor time to join other owners; otherwise it only joins when there is none.
-    bool mayScaleOut = true;
 };
 
 /// An instance's view of its zone.
@@ -62,11 +59,16 @@
 {
     std::size_t otherOwners = 0; ///< Other reachable instances of the zone that report that they own targets.
     std::size_t ownedTargets = 0; ///< Targets owned by these and by this instance.
-    bool isLastOwner = false; ///< No reachable owner follows this instance by name.
+    std::size_t precedingOwners = 0; ///< Those of them that precede this instance in the order of owners.
     bool hasPeers = false; ///< There are other instances in the zone.
-    bool hasReachablePeers = false; ///< At least one of them is reachable.
-    bool allPeersReachable = false; ///< All of them are reachable.
-    std::size_t precedingCandidates = 0; ///< Reachable candidates that precede this instance by name.
+    bool hasReachablePeers = false; ///< At least one of those with which this instance holds sessions is reachable.
+    bool allPeersReachable = false; ///< All instances that take over before others are reachable.
+    std::size_t precedingCandidates = 0; ///< Reachable candidates that precede this instance in the order of owners.
+    bool isSettled = true; ///< The list of the zone's instances has not grown lately, so that it is probably complete.
+    bool takesOverLate = false; ///< Other instances of the zone take over first.
+    std::size_t listedOwners = 0; ///< Owners that others list but with which this instance has no session.
+    std::size_t targetsPerOwner = kMaxTargetsPerOwner; ///< What the weakest owner can carry.
+    std::size_t usefulOwners = SIZE_MAX; ///< With more owners, the weakest ones would limit the others.
 };
 
 /// The platform's response to a renewal.
@@ -123,12 +125,12 @@
         return m_member;
     }
     /// @returns whether this instance, which owns nothing, would join if its zone needed an owner and no other
-    /// candidate preceded it by name.
+    /// candidate preceded it, or has joined and waits for its first shard: until then it is neither an owner nor gone.
     [[nodiscard]] bool isCandidate(Instant now) const;
 
 private:
     [[nodiscard]] bool wantsToJoin(const ZoneView &view, Instant now);
-    void checkSurplus(const ZoneView &view, std::size_t owners, Instant now);
+    void checkSurplus(const ZoneView &view, Instant now);
     [[nodiscard]] bool wantsToLeave(const ZoneView &view, bool isIdle, bool wasSteppingDown, Instant now);
     void finishHandover(Instant now);
 
--- a/include/eelgrasscleat/Node/Ports.h
+++ b/include/eelgrasscleat/Node/Ports.h
@@ -25,6 +25,7 @@
     ZoneName zone;
     std::string address; ///< IP address.
     std::uint16_t port = 0; ///< Port for connections of other instances.
+    InstanceCapacity capacity;
     bool operator==(const InstanceRegistration &) const = default;
 };
 
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -241,6 +241,15 @@
     }));
 }
 
+std::set<InstanceName> JobRouter::dispatchersInUse() const
+{
+    std::set<InstanceName> names;
+    for (const auto &it : m_open) {
+        names.insert(it.second.dispatcher);
+    }
+    return names;
+}
+
 bool JobRouter::isOpen(const JobId &id) const
 {
     return std::any_of(m_open.begin(), m_open.end(), [&id](const auto &it) { return it.second.request.id == id; });
--- a/lib/Dispatch/ZoneOwnership.cpp
+++ b/lib/Dispatch/ZoneOwnership.cpp
@@ -2,6 +2,8 @@
 /// State machine of an instance's membership in the group of its zone.
 #include <eelgrasscleat/Dispatch/ZoneOwnership.h>
 
+#include <algorithm>
+
 namespace Eelgrasscleat
 {
 
@@ -10,10 +12,17 @@
 
 /// An owner that can't reach any peer in its zone for this long is considered isolated.
 constexpr Duration kIsolationTimeout = std::chrono::milliseconds(800);
-/// An owner steps down only if the others then use at most this share of OwnershipPolicy::maxTargetsPerOwner. The
-/// hysteresis keeps it from being needed again at once.
+/// An owner steps down only if the others then own at most this share of ZoneView::targetsPerOwner. The hysteresis keeps
+/// it from being needed again at once.
 constexpr double kScaleInFillLimit = 0.75;
 
+/// @returns the number of owners that the zone's targets need.
+std::size_t neededOwners(const ZoneView &view)
+{
+    const std::size_t needed = (view.ownedTargets + view.targetsPerOwner - 1) / view.targetsPerOwner;
+    return std::min(needed, view.usefulOwners);
+}
+
 } // namespace
 
 ShardNumber shardOf(const TargetName &target, std::uint32_t shards)
@@ -40,7 +49,7 @@
 
 bool ZoneOwnership::isCandidate(Instant now) const
 {
-    return m_policy.mayScaleOut && !m_stopping && !m_member && now >= m_rejoinAt;
+    return !m_stopping && m_shards.empty() && now >= m_rejoinAt;
 }
 
 void ZoneOwnership::stop()
@@ -50,31 +59,31 @@
 
 bool ZoneOwnership::wantsToJoin(const ZoneView &view, Instant now)
 {
-    if (m_stopping || now < m_rejoinAt) {
+    if (m_stopping || now < m_rejoinAt || !view.isSettled) {
         return false;
     }
     if (isCandidate(now) && view.otherOwners == 0 && view.hasPeers && view.allPeersReachable
         && view.precedingCandidates == 0) {
         return true;
     }
-    if (now - m_ownerSeenAt >= m_policy.takeoverDelay + m_policy.extraTakeoverDelay) {
+    const Duration extraDelay = view.takesOverLate ? m_policy.extraTakeoverDelay : Duration::zero();
+    if (now - m_ownerSeenAt >= m_policy.takeoverDelay + extraDelay) {
         return true;
     }
-    if (!m_policy.mayScaleOut || view.otherOwners == 0) {
+    if (view.otherOwners == 0) {
         return false;
     }
-    const std::size_t needed = (view.ownedTargets + m_policy.maxTargetsPerOwner - 1) / m_policy.maxTargetsPerOwner;
-    const bool isNeeded = view.otherOwners + view.precedingCandidates < needed;
+    const bool isNeeded = view.otherOwners + view.listedOwners + view.precedingCandidates < neededOwners(view);
     return now - m_enoughOwnersAt >= (isNeeded ? m_policy.scaleOutDelay : m_policy.fallbackScaleOutDelay);
 }
 
-/// Several instances may have taken over at the same time. Owners step down one after the other until there are only as
-/// many as the targets need.
-void ZoneOwnership::checkSurplus(const ZoneView &view, std::size_t owners, Instant now)
+/// Several instances may have taken over at the same time. All owners that the targets don't need step down together,
+/// since each change of the members moves shards.
+void ZoneOwnership::checkSurplus(const ZoneView &view, Instant now)
 {
-    const double others = static_cast<double>(owners - 1) * static_cast<double>(m_policy.maxTargetsPerOwner);
-    const bool isSurplus = !m_shards.empty() && view.otherOwners > 0 && view.isLastOwner
-        && static_cast<double>(view.ownedTargets) <= others * kScaleInFillLimit;
+    const auto capacity = static_cast<double>(view.precedingOwners * view.targetsPerOwner);
+    const bool isSurplus = !m_shards.empty() && view.otherOwners > 0
+        && static_cast<double>(view.ownedTargets) <= capacity * kScaleInFillLimit;
     if (!isSurplus) {
         m_neededAt = now;
     } else if (now - m_neededAt >= m_policy.scaleInDelay && !m_steppingDown) {
@@ -126,12 +135,12 @@
         m_ownerSeenAt = now;
     }
     const std::size_t owners = view.otherOwners + (m_shards.empty() ? 0 : 1);
-    if (view.ownedTargets <= owners * m_policy.maxTargetsPerOwner) {
+    if (owners + view.listedOwners >= neededOwners(view)) {
         m_enoughOwnersAt = now;
     }
     const bool wasSteppingDown = m_steppingDown;
     if (owners > 0) {
-        checkSurplus(view, owners, now);
+        checkSurplus(view, now);
     }
     if (m_inFlight) {
         return MembershipAction::None;
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -113,7 +113,8 @@
     } else {
         m_router.dispatcherRetired(m_settings.self.name);
     }
-    m_peerLink.advance(status, m_now);
+    status.zoneTargets = zoneTargets();
+    m_peerLink.advance(status, m_router.dispatchersInUse(), m_now);
     m_router.advance(m_now);
     runDeferredCalls();
     const bool ready = m_configuration.isKnown() && !m_onStopped && m_router.dispatcherCount() > 0;
@@ -133,7 +134,7 @@
 void DispatchNode::Impl::advanceOwnership()
 {
     ZoneView view = m_peerLink.zoneView(m_now);
-    view.ownedTargets += m_dispatcher.load().targets;
+    view.ownedTargets = std::max<std::size_t>(view.ownedTargets, m_dispatcher.load().targets);
     const MembershipAction action = m_ownership.advance(view, areHandoverTargetsIdle(), m_now);
     applyOwnership();
     if (action == MembershipAction::None) {
@@ -165,6 +166,15 @@
         });
 }
 
+/// @returns the number of listed targets in this instance's zone; 0 while it doesn't follow the list.
+std::size_t DispatchNode::Impl::zoneTargets() const
+{
+    const auto &targets = m_targets.targets();
+    return static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [this](const auto &it) {
+        return it.second.zone == m_settings.self.zone;
+    }));
+}
+
 ShardNumber DispatchNode::Impl::shardOfTarget(const TargetName &target) const
 {
     return shardOf(target, m_settings.shards);
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -99,6 +99,7 @@
     void assignTargetIfOwned(const DispatchTarget &target);
     void assignOwnedTargets();
     [[nodiscard]] bool areHandoverTargetsIdle() const;
+    [[nodiscard]] std::size_t zoneTargets() const;
     [[nodiscard]] ShardNumber shardOfTarget(const TargetName &target) const;
     void advanceStop();
 
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -18,11 +18,19 @@
 
 /// Interval between an owner and the instances whose jobs it runs: a sixth of the timeout after which either is
 /// declared dead, and well below the maximum status age at which a run may be started.
-constexpr Duration kOwnerStatusInterval = std::chrono::milliseconds(80);
-/// Interval between instances of one zone, which detects the loss of the owner.
-constexpr Duration kZoneStatusInterval = std::chrono::milliseconds(200);
-/// Interval between all other instances, which only exchange the version of the configuration.
-constexpr Duration kOtherZoneStatusInterval = std::chrono::milliseconds(1000);
+constexpr Duration kJobStatusInterval = std::chrono::milliseconds(80);
+/// Interval of all other sessions, which detect the loss of an owner and spread the configuration and the names of
+/// owners.
+constexpr Duration kWatchStatusInterval = std::chrono::milliseconds(200);
+/// Interval of the list of known owners, which is part of some statuses only.
+constexpr Duration kOwnerListInterval = std::chrono::milliseconds(600);
+/// Interval of the selection of peers.
+constexpr Duration kSelectionInterval = std::chrono::milliseconds(200);
+/// When no instance of the zone was registered for this long, the list is taken as complete: instances that start at
+/// the same time register within 300 ms, and reads of the list follow each other after 200 ms.
+constexpr Duration kSettleTime = std::chrono::milliseconds(600);
+/// A session that neither side has wanted for this long is closed: several statuses.
+constexpr Duration kUnwantedTimeout = std::chrono::milliseconds(1000);
 /// A peer of the zone counts as unreachable if no message was received for this long.
 constexpr Duration kZonePeerTimeout = std::chrono::milliseconds(600);
 /// Maximum time that a job may spend in transit: less than the timeout after which its home declares the dispatcher
@@ -47,11 +55,13 @@
     : m_self(std::move(self))
     , m_events(events)
     , m_network(*this, PeerId { m_self.name, incarnation }, {}, kPeerTiming)
+    , m_selector({}, { m_self.name, m_self.zone, m_self.capacity }, incarnation.value)
 {
 }
 
 Result<Done> PeerLink::start()
 {
+    m_registeredAt = suspendAwareNow();
     const auto port = m_network.start(m_self.address, m_self.port);
     if (const auto *error = std::get_if<Error>(&port)) {
         return *error;
@@ -73,30 +83,110 @@
     if (instance.name == m_self.name) {
         return;
     }
-    Peer &peer = m_peers[instance.name];
-    if (peer.registration == instance) {
+    InstanceRegistration &registered = m_registered[instance.name];
+    if (registered == instance) {
         return;
     }
-    const bool moved = !peer.registration.name.isEmpty();
-    peer.registration = instance;
-    if (moved) {
-        peer.isConnected = false;
+    registered = instance;
+    if (instance.zone == m_self.zone) {
+        m_registeredAt = suspendAwareNow();
+    }
+    m_selector.add({ instance.name, instance.zone, instance.capacity });
+    const auto it = m_peers.find(instance.name);
+    if (it != m_peers.end()) {
+        it->second.registration = instance;
+        it->second.isConnected = false;
         m_events.sessionEnded(instance.name, "moved");
+        updatePeerEndpoints();
     }
-    updatePeerEndpoints();
+    m_nextSelectionAt = Instant {};
 }
 
 void PeerLink::removeInstance(const InstanceName &name)
 {
-    if (m_peers.erase(name) > 0) {
-        m_events.sessionEnded(name, "withdrawn");
+    if (m_registered.erase(name) == 0) {
+        return;
+    }
+    m_selector.remove(name);
+    if (m_peers.count(name) > 0) {
+        closeSession(name, "withdrawn");
         updatePeerEndpoints();
     }
 }
 
+void PeerLink::closeSession(const InstanceName &name, const std::string &why)
+{
+    m_peers.erase(name);
+    m_events.sessionEnded(name, why);
+}
+
 void PeerLink::reset()
 {
     m_network.resetConnections();
+    m_selector.forgetFailures();
+    m_nextSelectionAt = Instant {};
+}
+
+/// Opens sessions with newly selected peers, and closes those that neither side wants.
+void PeerLink::updateSelection(const std::set<InstanceName> &inUse, Instant now)
+{
+    m_nextSelectionAt = now + kSelectionInterval;
+    m_selector.setSelfOwner(m_status.owner);
+    m_selector.setZoneTargets(zoneTargets());
+    bool changed = false;
+    for (const InstanceName &it : m_selector.select(inUse, now)) {
+        Peer &peer = m_peers[it];
+        if (peer.registration.name.isEmpty()) {
+            peer.registration = m_registered.at(it);
+            peer.openedAt = now;
+            changed = true;
+        }
+    }
+    std::vector<InstanceName> unwanted;
+    for (auto &it : m_peers) {
+        if (it.second.isReportedOwner && !m_selector.isJobPeer(it.first)) {
+            it.second.isReportedOwner = false;
+            m_events.peerStatusReceived(it.first, it.second.registration.zone, false, {});
+        }
+        if (!m_selector.isSelected(it.first) && now - it.second.lastWantedAt > kUnwantedTimeout) {
+            unwanted.push_back(it.first);
+        }
+    }
+    for (const InstanceName &it : unwanted) {
+        closeSession(it, "not needed");
+    }
+    if (changed || !unwanted.empty()) {
+        updatePeerEndpoints();
+    }
+}
+
+/// Keeps a session with an instance that has selected this one.
+/// @returns whether the message is to be processed.
+bool PeerLink::adopt(const InstanceName &name, const schema::PeerMessage &message)
+{
+    const auto registered = m_registered.find(name);
+    const bool isWanted = message.kind_case() == schema::PeerMessage::kDispatchStatus
+        && message.dispatch_status().wants_session();
+    if (registered == m_registered.end() || !isWanted) {
+        return false; // An unregistered peer repeats its status.
+    }
+    Peer &peer = m_peers[name];
+    peer.registration = registered->second;
+    peer.openedAt = suspendAwareNow();
+    updatePeerEndpoints();
+    return true;
+}
+
+/// @returns the number of targets in the zone, as far as an instance that follows their list has reported it.
+std::size_t PeerLink::zoneTargets() const
+{
+    std::size_t targets = m_status.zoneTargets;
+    for (const auto &it : m_peers) {
+        if (it.second.registration.zone == m_self.zone && it.second.isConnected) {
+            targets = std::max(targets, it.second.zoneTargets);
+        }
+    }
+    return targets;
 }
 
 void PeerLink::submitJob(const InstanceName &peer, std::uint64_t ticket, const JobRequest &request)
@@ -122,12 +212,11 @@
     m_network.send(peer, std::move(message));
 }
 
-Duration PeerLink::statusInterval(const Peer &peer) const
+Duration PeerLink::statusInterval(const InstanceName &name, const Peer &peer) const
 {
-    if (m_status.owner || peer.owner) {
-        return kOwnerStatusInterval;
-    }
-    return peer.registration.zone == m_self.zone ? kZoneStatusInterval : kOtherZoneStatusInterval;
+    const bool runsItsJobs = m_status.owner && peer.wantsJobs;
+    const bool runsOurJobs = peer.owner && m_selector.isJobPeer(name);
+    return runsItsJobs || runsOurJobs ? kJobStatusInterval : kWatchStatusInterval;
 }
 
 void PeerLink::sendStatus(const InstanceName &name, Peer &peer, Instant now)
@@ -136,18 +225,26 @@
     auto &status = *message.mutable_dispatch_status();
     writeLoad(m_status.load, status);
     status.set_session(peer.outgoingSession);
-    status.set_zone(m_self.zone.value);
     status.set_owner(m_status.owner);
+    status.set_wants_session(m_selector.isSelected(name));
+    status.set_wants_jobs(m_selector.isJobPeer(name));
+    status.set_zone_targets(static_cast<std::uint32_t>(m_status.zoneTargets));
+    if (now - peer.ownersSentAt >= kOwnerListInterval) {
+        peer.ownersSentAt = now;
+        for (const InstanceName &it : m_selector.contactedOwners(now)) {
+            status.add_known_owners(it.value);
+        }
+    }
     status.set_candidate(m_status.candidate);
     status.set_sent_us(toMicroseconds(now));
-    status.set_heard_age_us(static_cast<std::uint64_t>((now - peer.lastReceivedAt).count()));
+    status.set_heard_age_us(static_cast<std::uint64_t>((now - std::max(peer.lastReceivedAt, peer.openedAt)).count()));
     status.set_config_version(m_status.configVersion.value);
     peer.lastSentAt = now;
     peer.isStatusDue = false;
     m_network.send(name, std::move(message));
 }
 
-void PeerLink::advance(const LocalStatus &status, Instant now)
+void PeerLink::advance(const LocalStatus &status, const std::set<InstanceName> &inUse, Instant now)
 {
     const bool changed = status.owner != m_status.owner || status.candidate != m_status.candidate
         || status.configVersion != m_status.configVersion || status.load.draining != m_status.load.draining;
@@ -158,39 +255,57 @@
             continue;
         }
         // The peer may lack a part of what was sent in this session.
-        ++peer->second.outgoingSession;
+        peer->second.outgoingSession = ++m_lastSession;
         peer->second.isStatusDue = true;
         writeLog(LogLevel::Warn, "message to peer dropped", { { "peer", it.value } });
         m_events.sessionEnded(it, "message dropped");
     }
+    if (now >= m_nextSelectionAt) {
+        updateSelection(inUse, now);
+    }
     for (auto &it : m_peers) {
         Peer &peer = it.second;
-        if (peer.isConnected && (changed || peer.isStatusDue || now - peer.lastSentAt >= statusInterval(peer))) {
+        const bool isDue = changed || peer.isStatusDue || now - peer.lastSentAt >= statusInterval(it.first, peer);
+        if (peer.isConnected && isDue) {
             sendStatus(it.first, peer, now);
         }
     }
 }
 
+bool PeerLink::isReachable(const InstanceName &name, Instant now) const
+{
+    const auto it = m_peers.find(name);
+    return it != m_peers.end() && it->second.isConnected && now - it->second.lastReceivedAt < kZonePeerTimeout;
+}
+
 ZoneView PeerLink::zoneView(Instant now) const
 {
     ZoneView view;
-    view.isLastOwner = true;
-    view.allPeersReachable = true;
+    const auto candidates = m_selector.firstCandidates();
+    view.hasPeers = m_selector.zonePeers() > 0;
+    view.allPeersReachable = std::all_of(
+        candidates.begin(), candidates.end(), [&](const InstanceName &it) { return isReachable(it, now); });
+    view.isSettled = now - m_registeredAt >= kSettleTime;
+    view.takesOverLate = !m_selector.isCandidate();
     for (const auto &it : m_peers) {
-        if (it.second.registration.zone != m_self.zone) {
+        if (it.second.registration.zone != m_self.zone || !isReachable(it.first, now)) {
             continue;
         }
-        const bool isReachable = it.second.isConnected && now - it.second.lastReceivedAt < kZonePeerTimeout;
-        view.hasPeers = true;
-        view.hasReachablePeers = view.hasReachablePeers || isReachable;
-        view.allPeersReachable = view.allPeersReachable && isReachable;
-        view.precedingCandidates += isReachable && it.second.candidate && it.first < m_self.name ? 1 : 0;
-        if (isReachable && it.second.owner) {
+        view.hasReachablePeers = true;
+        const bool precedes = m_selector.precedesSelf(it.first);
+        view.precedingCandidates += it.second.candidate && precedes ? 1 : 0;
+        if (it.second.owner) {
             ++view.otherOwners;
             view.ownedTargets += it.second.ownedTargets;
-            view.isLastOwner = view.isLastOwner && it.first < m_self.name;
+            view.precedingOwners += precedes ? 1 : 0;
         }
     }
+    view.ownedTargets = std::max(view.ownedTargets, zoneTargets());
+    const std::size_t knownOwners = m_selector.knownZoneOwners(now);
+    view.listedOwners = knownOwners > view.otherOwners ? knownOwners - view.otherOwners : 0;
+    const OwnerPlan plan = m_selector.ownerPlan();
+    view.targetsPerOwner = plan.targetsPerOwner;
+    view.usefulOwners = plan.owners;
     return view;
 }
 
@@ -225,7 +340,7 @@
 /// own connection how long ago it received the last message. Resets the connection if that is too long ago.
 void PeerLink::checkOutgoingConnection(const InstanceName &name, Peer &peer, Duration lastReceivedAge, Instant now)
 {
-    const Duration limit = kZonePeerTimeout + 2 * statusInterval(peer);
+    const Duration limit = kZonePeerTimeout + 2 * statusInterval(name, peer);
     if (!peer.isConnected || now - peer.connectedSince < limit || lastReceivedAge < limit) {
         return;
     }
@@ -239,32 +354,52 @@
 void PeerLink::handleStatus(const InstanceName &name, Peer &peer, const schema::DispatchStatus &message)
 {
     if (message.session() != peer.incomingSession) {
+        if (peer.incomingSession != 0) {
+            m_events.sessionEnded(name, "new session");
+        }
         peer.incomingSession = message.session();
-        m_events.sessionEnded(name, "new session");
     }
     checkOutgoingConnection(
         name, peer, Duration(static_cast<Duration::rep>(message.heard_age_us())), peer.lastReceivedAt);
     peer.remoteClockUs = message.sent_us();
+    const Instant now = peer.lastReceivedAt;
     peer.owner = message.owner();
     peer.candidate = message.candidate();
+    peer.wantsJobs = message.wants_jobs();
     peer.ownedTargets = message.targets();
+    peer.zoneTargets = message.zone_targets();
+    if (message.wants_session()) {
+        peer.lastWantedAt = now;
+    }
+    m_selector.ownerReported(name, message.owner(), now);
+    std::vector<InstanceName> listedOwners;
+    for (const auto &it : message.known_owners()) {
+        listedOwners.emplace_back(it);
+    }
+    m_selector.ownersListed(listedOwners, now);
     peer.configVersion = message.config_version();
     if (message.config_version() > m_status.configVersion.value) {
         schema::PeerMessage request;
         request.mutable_fleet_config_request();
         m_network.send(name, std::move(request));
     }
-    m_events.peerStatusReceived(name, ZoneName(message.zone()), message.owner(), readLoad(message));
+    reportOwner(name, peer, readLoad(message));
+}
+
+/// Passes the status on. Jobs may only go to a selected owner: the session with any other may be closed by the peer.
+void PeerLink::reportOwner(const InstanceName &name, Peer &peer, const DispatcherLoad &load)
+{
+    peer.isReportedOwner = peer.owner && m_selector.isJobPeer(name);
+    m_events.peerStatusReceived(name, peer.registration.zone, peer.isReportedOwner, load);
 }
 
 void PeerLink::peerMessageArrived(schema::PeerMessage message)
 {
     const InstanceName name(message.from_instance());
-    const auto it = m_peers.find(name);
-    if (it == m_peers.end()) {
-        return; // Not registered yet; the peer repeats its status.
+    if (m_peers.count(name) == 0 && !adopt(name, message)) {
+        return;
     }
-    Peer &peer = it->second;
+    Peer &peer = m_peers.at(name);
     if (!m_events.peerMessageReceived(name)) {
         return;
     }
@@ -272,10 +407,15 @@
         m_network.hurry(name);
     }
     peer.lastReceivedAt = suspendAwareNow();
+    if (peer.isConnected) {
+        m_selector.contacted(name, peer.lastReceivedAt);
+    }
     if (message.from_incarnation() != peer.remoteIncarnation) {
+        if (peer.remoteIncarnation != 0) {
+            m_events.sessionEnded(name, "restarted");
+        }
         peer.remoteIncarnation = message.from_incarnation();
         peer.incomingSession = 0;
-        m_events.sessionEnded(name, "restarted");
     }
     if (message.kind_case() != schema::PeerMessage::kDispatchStatus && peer.incomingSession == 0) {
         return; // The start of the session was lost.
@@ -319,7 +459,7 @@
     peer.isConnected = up;
     if (up) {
         // The status must be the first message, since it starts the session at the peer.
-        ++peer.outgoingSession;
+        peer.outgoingSession = ++m_lastSession;
         peer.connectedSince = suspendAwareNow();
         sendStatus(name, peer, peer.connectedSince);
         writeLog(LogLevel::Info, "peer connected", { { "peer", name.value }, { "session", peer.outgoingSession } });
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -1,9 +1,10 @@
 /// @file
-/// Sessions with the other instances: their latest status, and the schedule of status messages to them. A session ends
-/// when a connection in either direction is lost; all jobs that were handed over in it are then abandoned.
+/// Sessions with selected peers: their latest status, and the schedule of status messages to them. A session ends when
+/// a connection in either direction is lost; all jobs that were handed over in it are then abandoned.
 #pragma once
 
 #include <eelgrasscleat/Dispatch/Dispatcher.h>
+#include <eelgrasscleat/Dispatch/PeerSelector.h>
 #include <eelgrasscleat/Node/Ports.h>
 #include <eelgrasscleat/Wire/PeerNetwork.h>
 
@@ -20,6 +21,7 @@
     bool candidate = false; ///< Takes over if its zone has no owner.
     DispatcherLoad load;
     ConfigVersion configVersion;
+    std::size_t zoneTargets = 0; ///< Listed targets in this instance's zone; 0 if it doesn't follow the list.
 };
 
 /// Receives the messages of peers and the state of their sessions.
@@ -30,6 +32,7 @@
     /// Called for each message of a peer, before the handler of its type.
     /// @returns false if the message is too old to be processed.
     virtual bool peerMessageReceived(const InstanceName &peer) = 0;
+    /// @param owner whether the peer owns targets on which jobs of this instance may run
     virtual void
     peerStatusReceived(const InstanceName &peer, const ZoneName &zone, bool owner, const DispatcherLoad &load) = 0;
     virtual void sessionEnded(const InstanceName &peer, const std::string &why) = 0;
@@ -41,7 +44,7 @@
     virtual const FleetConfiguration &configuration() = 0;
 };
 
-/// Exchanges messages with all other instances.
+/// Exchanges messages with the peers that this instance has selected, and with those that have selected it.
 class PeerLink : public PeerNetworkHandler
 {
 public:
@@ -58,8 +61,15 @@
     void cancelJob(const InstanceName &peer, std::uint64_t ticket);
     void reportJobEnd(const InstanceName &peer, const JobEnd &end);
 
-    /// Sends the status to all peers for which it is due, and ends sessions in which a message was dropped.
-    void advance(const LocalStatus &status, Instant now);
+    /// Sends the status to all peers for which it is due, ends sessions in which a message was dropped, and selects
+    /// peers anew.
+    /// @param inUse dispatchers with open jobs of this instance
+    void advance(const LocalStatus &status, const std::set<InstanceName> &inUse, Instant now);
+    /// @returns the number of sessions, for metrics.
+    [[nodiscard]] std::size_t sessions() const
+    {
+        return m_peers.size();
+    }
     /// @returns the known state of the other instances in this instance's zone.
     [[nodiscard]] ZoneView zoneView(Instant now) const;
 
@@ -77,27 +87,44 @@
         std::uint64_t outgoingSession = 0; ///< Session of messages to the peer.
         std::uint64_t remoteIncarnation = 0;
         std::uint64_t incomingSession = 0;
+        Instant openedAt {};
         Instant lastReceivedAt {};
         Instant lastSentAt {};
         std::uint64_t remoteClockUs = 0; ///< The peer's clock in its latest status; 0 before the first status.
         bool owner = false;
         bool candidate = false;
+        bool wantsJobs = false; ///< The peer may submit jobs to this instance.
+        bool isReportedOwner = false; ///< Reported to the handler as an owner.
         std::size_t ownedTargets = 0; ///< Usable targets that the peer owns.
+        std::size_t zoneTargets = 0; ///< Listed targets in the peer's zone.
         bool isStatusDue = true;
         std::uint64_t configVersion = 0;
+        Instant lastWantedAt {}; ///< Latest status of a peer that has selected this instance.
+        Instant ownersSentAt {}; ///< When the known owners were last sent to the peer.
     };
 
     void updatePeerEndpoints();
+    void updateSelection(const std::set<InstanceName> &inUse, Instant now);
+    void closeSession(const InstanceName &name, const std::string &why);
+    void reportOwner(const InstanceName &name, Peer &peer, const DispatcherLoad &load);
+    [[nodiscard]] bool adopt(const InstanceName &name, const schema::PeerMessage &message);
+    [[nodiscard]] bool isReachable(const InstanceName &name, Instant now) const;
+    [[nodiscard]] std::size_t zoneTargets() const;
     void handleJob(const InstanceName &name, const schema::DispatchJob &message, Instant now);
     void checkOutgoingConnection(const InstanceName &name, Peer &peer, Duration lastReceivedAge, Instant now);
     void sendStatus(const InstanceName &name, Peer &peer, Instant now);
     void handleStatus(const InstanceName &name, Peer &peer, const schema::DispatchStatus &message);
-    [[nodiscard]] Duration statusInterval(const Peer &peer) const;
+    [[nodiscard]] Duration statusInterval(const InstanceName &name, const Peer &peer) const;
 
     InstanceRegistration m_self;
     PeerEventHandler &m_events;
     PeerNetwork m_network;
-    std::map<InstanceName, Peer> m_peers;
+    PeerSelector m_selector;
+    std::map<InstanceName, InstanceRegistration> m_registered; ///< All other instances.
+    std::map<InstanceName, Peer> m_peers; ///< Peers with sessions: selected, or having selected this instance.
+    std::uint64_t m_lastSession = 0;
+    Instant m_nextSelectionAt {};
+    Instant m_registeredAt {}; ///< When an instance of the zone was last registered.
     LocalStatus m_status;
     std::set<InstanceName> m_peersWithDroppedMessages; ///< Since the last advance().
 };
--- a/unittests/Dispatch/ZoneOwnershipTest.cpp
+++ b/unittests/Dispatch/ZoneOwnershipTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(standby_allPeersReachableButNotFirst_waits);
     CPPUNIT_TEST(standby_stopping_isNoCandidate);
     CPPUNIT_TEST(member_withoutShards_renewsSoon);
+    CPPUNIT_TEST(member_withoutShards_remainsCandidate);
     CPPUNIT_TEST(member_ownsZone_usesGenerationAsToken);
     CPPUNIT_TEST(owner_zoneReassigned_reportsOldGenerationUntilIdle);
     CPPUNIT_TEST(owner_zoneReassignedAndBusy_releasesAfterHandoverTime);
@@ -28,9 +29,14 @@
     CPPUNIT_TEST(owner_shardReassigned_keepsOthersAccepting);
     CPPUNIT_TEST(standby_ownersOverloaded_joins);
     CPPUNIT_TEST(standby_enoughPrecedingCandidates_joinsAfterFallbackDelay);
-    CPPUNIT_TEST(standby_mayNotScaleOut_neverJoins);
-    CPPUNIT_TEST(owner_surplusAndLastByName_stepsDown);
+    CPPUNIT_TEST(standby_weakerThanAllUsefulOwners_neverJoins);
+    CPPUNIT_TEST(standby_ownersListedByPeers_neverJoins);
+    CPPUNIT_TEST(standby_thinLinks_joinsAtFewerTargets);
+    CPPUNIT_TEST(standby_takesOverLate_joinsAfterExtraDelay);
+    CPPUNIT_TEST(owner_surplusAndLastInOrder_stepsDown);
     CPPUNIT_TEST(owner_surplusButNotLast_stays);
+    CPPUNIT_TEST(owner_surplusAmongMany_stepsDownWithTheOthers);
+    CPPUNIT_TEST(standby_listOfInstancesStillGrowing_waits);
     CPPUNIT_TEST(owner_stepsDown_waitsForRuns);
     CPPUNIT_TEST_SUITE_END();
 
@@ -55,16 +61,16 @@
 
     void standby_allPeersReachableAndFirst_joinsAtOnce()
     {
-        CPPUNIT_ASSERT(advance({ 0, 0, true, true, true, true, 0 }) == MembershipAction::Renew);
+        CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, true, 0 }) == MembershipAction::Renew);
     }
 
     void standby_allPeersReachableButNotFirst_waits()
     {
-        CPPUNIT_ASSERT(advance({ 0, 0, true, true, true, true, 1 }) == MembershipAction::None);
+        CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, true, 1 }) == MembershipAction::None);
         // An unreachable peer may be the owner.
-        CPPUNIT_ASSERT(advance({ 0, 0, true, true, true, false, 0 }) == MembershipAction::None);
+        CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, false, 0 }) == MembershipAction::None);
         m_now += std::chrono::milliseconds(500);
-        CPPUNIT_ASSERT(advance({ 0, 0, true, true, true, false, 0 }) == MembershipAction::Renew);
+        CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, false, 0 }) == MembershipAction::Renew);
     }
 
     void standby_stopping_isNoCandidate()
@@ -72,21 +78,32 @@
         CPPUNIT_ASSERT(m_ownership.isCandidate(m_now));
         m_ownership.stop();
         CPPUNIT_ASSERT(!m_ownership.isCandidate(m_now));
-        CPPUNIT_ASSERT(advance({ 0, 0, true, true, true, true, 0 }) == MembershipAction::None);
+        CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, true, 0 }) == MembershipAction::None);
     }
 
     void member_withoutShards_renewsSoon()
     {
-        CPPUNIT_ASSERT(advance({ 0, 0, true, true, true, true, 0 }) == MembershipAction::Renew);
+        CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, true, 0 }) == MembershipAction::Renew);
         m_ownership.renewed({ 7, {}, false }, m_now);
         m_now += std::chrono::milliseconds(100);
-        CPPUNIT_ASSERT(advance({ 0, 0, true, true, true, true, 0 }) == MembershipAction::Renew);
+        CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, true, 0 }) == MembershipAction::Renew);
         m_ownership.renewed({ 8, kAllShards, true }, m_now);
         m_now += std::chrono::milliseconds(100);
-        CPPUNIT_ASSERT(advance({ 0, 0, true, true, true, true, 0 }) == MembershipAction::None);
+        CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, true, 0 }) == MembershipAction::None);
         CPPUNIT_ASSERT(token() == FencingToken(8));
     }
 
+    void member_withoutShards_remainsCandidate()
+    {
+        // Otherwise others take its place while the owners hand over shards to it.
+        CPPUNIT_ASSERT(advance({ 0, 0, 0, true, true, true, 0 }) == MembershipAction::Renew);
+        CPPUNIT_ASSERT(m_ownership.isCandidate(m_now));
+        m_ownership.renewed({ 7, {}, false }, m_now);
+        CPPUNIT_ASSERT(m_ownership.isCandidate(m_now));
+        m_ownership.renewed({ 8, kAllShards, true }, m_now);
+        CPPUNIT_ASSERT(!m_ownership.isCandidate(m_now));
+    }
+
     void member_ownsZone_usesGenerationAsToken()
     {
         becomeOwner(7);
@@ -184,7 +201,7 @@
 
     void standby_ownersOverloaded_joins()
     {
-        const ZoneView overloaded { 1, 100, true, true, true, true, 1 };
+        const ZoneView overloaded { 1, 100, 1, true, true, true, 1 };
         CPPUNIT_ASSERT(advance(overloaded) == MembershipAction::None);
         m_now += std::chrono::milliseconds(199);
         CPPUNIT_ASSERT(advance(overloaded) == MembershipAction::None);
@@ -195,7 +212,7 @@
     void standby_enoughPrecedingCandidates_joinsAfterFallbackDelay()
     {
         // 100 targets need three owners: there is one, and two candidates precede this instance.
-        const ZoneView overloaded { 1, 100, true, true, true, true, 2 };
+        const ZoneView overloaded { 1, 100, 1, true, true, true, 2 };
         CPPUNIT_ASSERT(advance(overloaded) == MembershipAction::None);
         m_now += std::chrono::milliseconds(1499);
         CPPUNIT_ASSERT(advance(overloaded) == MembershipAction::None);
@@ -203,35 +220,77 @@
         CPPUNIT_ASSERT(advance(overloaded) == MembershipAction::Renew);
     }
 
-    void standby_mayNotScaleOut_neverJoins()
+    void standby_weakerThanAllUsefulOwners_neverJoins()
     {
-        OwnershipPolicy policy;
-        policy.mayScaleOut = false;
-        ZoneOwnership ownership(policy);
-        for (int i = 0; i < 100; ++i) {
-            m_now += std::chrono::milliseconds(100);
-            CPPUNIT_ASSERT(ownership.advance({ 1, 100, true, true, true }, true, m_now) == MembershipAction::None);
-        }
+        ZoneView view { 1, 100, 1, true, true };
+        view.usefulOwners = 1;
+        assertNeverJoins(view);
+    }
+
+    void standby_ownersListedByPeers_neverJoins()
+    {
+        ZoneView view { 1, 100, 1, true, true };
+        view.listedOwners = 2;
+        assertNeverJoins(view);
+    }
+
+    void standby_thinLinks_joinsAtFewerTargets()
+    {
+        ZoneView view { 1, 17, 1, true, true };
+        assertNeverJoins(view);
+        view.targetsPerOwner = 5;
+        CPPUNIT_ASSERT(advance(view) == MembershipAction::None);
+        m_now += std::chrono::milliseconds(200);
+        CPPUNIT_ASSERT(advance(view) == MembershipAction::Renew);
     }
 
-    void owner_surplusAndLastByName_stepsDown()
+    void standby_takesOverLate_joinsAfterExtraDelay()
+    {
+        ZoneView view = reachablePeers();
+        view.takesOverLate = true;
+        CPPUNIT_ASSERT(advance(view) == MembershipAction::None);
+        m_now += std::chrono::milliseconds(1999);
+        CPPUNIT_ASSERT(advance(view) == MembershipAction::None);
+        m_now += std::chrono::milliseconds(1);
+        CPPUNIT_ASSERT(advance(view) == MembershipAction::Renew);
+    }
+
+    void owner_surplusAndLastInOrder_stepsDown()
     {
         becomeOwner(7);
-        CPPUNIT_ASSERT(!leavesWithView({ 1, 40, true, true, true }));
-        CPPUNIT_ASSERT(leavesWithView({ 1, 30, true, true, true }));
+        CPPUNIT_ASSERT(!leavesWithView({ 1, 40, 1, true, true }));
+        CPPUNIT_ASSERT(leavesWithView({ 1, 30, 1, true, true }));
         CPPUNIT_ASSERT(!token());
     }
 
     void owner_surplusButNotLast_stays()
     {
         becomeOwner(7);
-        CPPUNIT_ASSERT(!leavesWithView({ 1, 30, false, true, true }));
+        CPPUNIT_ASSERT(!leavesWithView({ 1, 30, 0, true, true }));
+    }
+
+    void owner_surplusAmongMany_stepsDownWithTheOthers()
+    {
+        // Eleven owners where three are needed: the fifth and all later ones leave at the same time.
+        becomeOwner(7);
+        CPPUNIT_ASSERT(!leavesWithView({ 10, 117, 3, true, true }));
+        CPPUNIT_ASSERT(leavesWithView({ 10, 117, 4, true, true }));
+    }
+
+    void standby_listOfInstancesStillGrowing_waits()
+    {
+        // All instances start at once: each first learns of a few others only, and must not take itself for the first.
+        ZoneView view { 0, 0, 0, true, true, true, 0 };
+        view.isSettled = false;
+        assertNeverJoins(view);
+        view.isSettled = true;
+        CPPUNIT_ASSERT(advance(view) == MembershipAction::Renew);
     }
 
     void owner_stepsDown_waitsForRuns()
     {
         becomeOwner(7);
-        const ZoneView surplus { 1, 30, true, true, true };
+        const ZoneView surplus { 1, 30, 1, true, true };
         while (!m_ownership.isHandingOver(0)) {
             // No shard is being handed over yet, so the instance is idle by definition.
             const MembershipAction action = advance(surplus, true);
@@ -247,17 +306,25 @@
     }
 
 private:
+    void assertNeverJoins(const ZoneView &view)
+    {
+        for (int i = 0; i < 100; ++i) {
+            m_now += std::chrono::milliseconds(100);
+            CPPUNIT_ASSERT(advance(view) == MembershipAction::None);
+        }
+    }
+
     static ZoneView reachableOwners(std::size_t owners)
     {
-        return { owners, 16, true, true, true };
+        return { owners, 16, 1, true, true };
     }
     static ZoneView reachablePeers()
     {
-        return { 0, 0, true, true, true };
+        return { 0, 0, 1, true, true };
     }
     static ZoneView unreachablePeers()
     {
-        return { 0, 0, true, true, false };
+        return { 0, 0, 1, true, false };
     }
 
     /// @returns whether the instance leaves within 5 s of an unchanged @p view.
--- a/unittests/Node/PeerLinkTest.cpp
+++ b/unittests/Node/PeerLinkTest.cpp
@@ -106,12 +106,18 @@
             m_events);
         CPPUNIT_ASSERT(isOk(m_peerLink->start()));
         m_peerLink->addInstance({ InstanceName("b"), ZoneName("zone"), "127.0.0.1", peerPort });
+        QObject::connect(&m_advanceTimer, &QTimer::timeout, &m_advanceTimer, [this] {
+            m_peerLink->advance({}, {}, suspendAwareNow());
+        });
+        m_advanceTimer.start(std::chrono::milliseconds(20));
         m_peer->setPeers({ PeerEndpoint { InstanceName("a"), "127.0.0.1", kLinkPort } });
         EventLoop::waitFor([this] { return m_handler.isUp && m_handler.messages > 0; });
     }
 
     void tearDown() override
     {
+        m_advanceTimer.stop();
+        m_advanceTimer.disconnect();
         m_peerLink.reset();
         m_peer.reset();
         m_handler = {};
@@ -169,7 +175,6 @@
             schema::PeerMessage message;
             auto &status = *message.mutable_dispatch_status();
             status.set_session(1);
-            status.set_zone("zone");
             status.set_owner(true);
             status.set_heard_age_us(static_cast<std::uint64_t>(heardAge.count()));
             m_peer->send(InstanceName("a"), message);
@@ -183,6 +188,7 @@
 
     RecordingPeer m_handler;
     CountingPeerEvents m_events;
+    QTimer m_advanceTimer;
     std::unique_ptr<PeerNetwork> m_peer;
     std::unique_ptr<PeerLink> m_peerLink;
 };
--- a/unittests/PlatformAdapter/NodeFileTest.cpp
+++ b/unittests/PlatformAdapter/NodeFileTest.cpp
@@ -13,7 +13,8 @@
 {
     CPPUNIT_TEST_SUITE(NodeFileTest);
     CPPUNIT_TEST(read_wellFormed_fieldsTaken);
-    CPPUNIT_TEST(read_smallInstance_onlyTakesOver);
+    CPPUNIT_TEST(read_limits_capacityTaken);
+    CPPUNIT_TEST(read_impossibleLimit_errorNamesIt);
     CPPUNIT_TEST(read_unknownFields_ignored);
     CPPUNIT_TEST(read_missingOrDamagedField_errorNamesIt);
     CPPUNIT_TEST(read_brokenSyntax_errorNamesLine);
@@ -31,16 +32,27 @@
         CPPUNIT_ASSERT((file.store == Endpoint { "10.200.1.7", 8169 }));
         CPPUNIT_ASSERT_EQUAL(std::uint32_t { 16 }, file.node.shards);
         CPPUNIT_ASSERT(file.node.dispatcher.leaseLength == std::chrono::milliseconds(1000));
-        CPPUNIT_ASSERT(file.node.ownership.mayScaleOut);
     }
 
-    void read_smallInstance_onlyTakesOver()
+    void read_limits_capacityTaken()
     {
         QByteArray text = kFile;
-        text.replace("cpu-quota = 0.25", "cpu-quota = 0.09");
+        text.replace("cpu-quota = 0.25", "cpu-quota = 0.09\nlink-mbps = 2.5");
         const auto result = read(text);
-        CPPUNIT_ASSERT(!std::get<NodeFile>(result).node.ownership.mayScaleOut);
-        CPPUNIT_ASSERT(std::get<NodeFile>(result).node.ownership.extraTakeoverDelay > Duration::zero());
+        const InstanceCapacity capacity = std::get<NodeFile>(result).node.self.capacity;
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 90 }, capacity.milliCores);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 2500 }, capacity.linkKbps);
+    }
+
+    void read_impossibleLimit_errorNamesIt()
+    {
+        for (const char *it : { "cpu-quota = -1.0", "cpu-quota = nan", "cpu-quota = \"much\"" }) {
+            QByteArray text = kFile;
+            text.replace("cpu-quota = 0.25", it);
+            const auto result = read(text);
+            CPPUNIT_ASSERT(!isOk(result));
+            CPPUNIT_ASSERT(std::get<Error>(result).detail.find("limits.cpu-quota") != std::string::npos);
+        }
     }
 
     void read_unknownFields_ignored()
