Commands to targets paced by measured response times

Cause: timeouts of 150 ms and repeats after 30 ms whatever the link.

CommandPacer keeps a window of start commands in flight (additive increase, multiplicative decrease by response time) and derives timeouts and the delay of repeats from the smoothed response time. The expected wait of a job counts the rate that the window allows, so that it is refused early. Stops back off; inspections retry by the response time. The timeout of a command is now decided by the dispatcher, not by the platform adapter.

FakeFleet now ends a command at its timeout whether or not a response is still on its way, as the real client does.

--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -4,6 +4,7 @@
 /// jobs are passed out through interfaces.
 #pragma once
 
+#include <eelgrasscleat/Dispatch/CommandPacer.h>
 #include <eelgrasscleat/Dispatch/JobTypes.h>
 #include <eelgrasscleat/Dispatch/TargetCommands.h>
 
@@ -35,8 +36,8 @@
     std::chrono::milliseconds inspectWaitUnderLoss { 60 };
     /// Commands are assumed to go unanswered for this long after one did: network faults last for seconds.
     Duration lossyPeriod = std::chrono::seconds(5);
-    /// Delay before an unanswered command is sent once more: ten times the usual response time.
-    Duration commandRetryDelay = std::chrono::milliseconds(30);
+    /// Timeouts and the window of commands to targets.
+    CommandPacerPolicy commands;
     /// Interval between inspections of an idle target, which detect restarts and fencing early.
     Duration idleInspectInterval = std::chrono::seconds(10);
     /// A late result is still useful up to this multiple of the latency objective.
--- a/include/eelgrasscleat/Dispatch/TargetCommands.h
+++ b/include/eelgrasscleat/Dispatch/TargetCommands.h
@@ -95,6 +95,8 @@
     bool renew = false;
     TargetTime leaseEnd { 0 }; ///< If renewing: end of the lease on the target's clock.
     std::chrono::milliseconds wait { 0 }; ///< Long poll: the target responds when a run ends or this time has passed.
+    /// After it, the command counts as unanswered; added to the wait.
+    std::chrono::milliseconds responseTimeout { 150 };
 };
 
 /// Starts a run.
@@ -105,6 +107,8 @@
     RunName run;
     const std::string *payload = nullptr; ///< Valid during the call.
     TargetTime leaseEnd { 0 };
+    /// After it, the command counts as unanswered.
+    std::chrono::milliseconds responseTimeout { 150 };
 };
 
 /// Stops a run.
@@ -113,6 +117,8 @@
     TargetAddress target;
     FencingToken token;
     RunName run;
+    /// After it, the command counts as unanswered.
+    std::chrono::milliseconds responseTimeout { 150 };
 };
 
 /// Sends commands to targets. Each command is completed exactly once, asynchronously, through CommandResultHandler.
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -65,7 +65,10 @@
         return kMaxRetryDelay;
     }
     const double availableRate = std::max(kMinCapacityShare * rate, rate - arrivingRate);
-    return Duration(static_cast<Duration::rep>(m_jobTable.queuedWork(priority).milliCoreMicros / availableRate));
+    const QueuedWork queued = m_jobTable.queuedWork(priority);
+    constexpr double kMicrosPerSecond = 1e6;
+    const double untilSent = queued.tasks / m_pacer.startsPerSecond() * kMicrosPerSecond;
+    return Duration(static_cast<Duration::rep>(std::max(queued.milliCoreMicros / availableRate, untilSent)));
 }
 
 Duration Dispatcher::Impl::expectedWait(const JobRequest &request, Instant now)
@@ -74,7 +77,7 @@
     for (const JobStep &it : request.steps) {
         demand += static_cast<double>(it.demand.milliCores) * it.tasks;
     }
-    if (static_cast<double>(load(now).freeMilliCores) >= demand) {
+    if (m_pacer.mayStart() && static_cast<double>(load(now).freeMilliCores) >= demand) {
         return {};
     }
     // More urgent jobs that arrive meanwhile are placed first, too.
@@ -226,6 +229,9 @@
 void Dispatcher::Impl::placeWaiting(Instant now)
 {
     std::uint32_t skipped = 0;
+    if (!m_pacer.mayStart()) {
+        return;
+    }
     for (ActiveJob *job : m_jobTable.readyJobs(now)) {
         const auto recent = m_recentJobs.find(job->request.id);
         if (recent != m_recentJobs.end() && recent->second.stoppingRuns > 0) {
@@ -249,6 +255,9 @@
             if (job.steps[step][i].state != TaskState::Ready) {
                 continue;
             }
+            if (!m_pacer.mayStart()) {
+                return false;
+            }
             const TaskName task { job.request.id, step, i };
             OwnedTarget *target = m_selector.select(job, task, run, now);
             if (target == nullptr) {
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -22,6 +22,7 @@
         , m_commands(commands)
         , m_observer(observer)
         , m_selector(m_targets, m_health)
+        , m_pacer(policy.commands)
     {
     }
 
@@ -90,6 +91,8 @@
     void requeue(const TargetName &target, const RunName &name, const TrackedRun &run);
     void removeStoppingRun(const JobId &id);
     void recordNoResponse(const OwnedTarget &target, Instant now);
+    void recordUnanswered(const OwnedTarget &target, Instant now);
+    void recordResponseTime(const OwnedTarget &target, const TrackedRun &run, const CommandResult &result, Instant now);
     void updateHealth(OwnedTarget &target, PlacementOutcome outcome, Instant now);
     void abandonRuns(OwnedTarget &target, Instant now);
     void fenceTarget(OwnedTarget &target, Instant now);
@@ -105,6 +108,7 @@
     DispatcherObserver &m_observer;
     HealthTracker m_health;
     TargetSelector m_selector;
+    CommandPacer m_pacer;
     std::map<InstanceName, Instant> m_homes; ///< Time of the last message from each home instance.
     std::map<JobId, RecentJob> m_recentJobs;
     std::uint64_t m_lastInspection = 0;
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -83,6 +83,8 @@
     command.run = name;
     command.payload = &job.request.payload;
     command.leaseEnd = target.tracker.extendLease(m_policy.leaseLength, oldestHomeContact(target, now), now);
+    command.responseTimeout = m_pacer.responseTimeout();
+    m_pacer.startSent();
     m_commands.start(command);
 }
 
@@ -91,7 +93,7 @@
 void Dispatcher::Impl::repeatStart(OwnedTarget &target, const RunName &name, TrackedRun &run, Instant now)
 {
     const ActiveJob *job = m_jobTable.find(run.job);
-    if (job == nullptr || run.startsSent > 1 || now - run.dispatchedAt < m_policy.commandRetryDelay) {
+    if (job == nullptr || run.startsSent > 1 || now - run.dispatchedAt < m_pacer.retryDelay()) {
         return;
     }
     if (now - lastContact(run.home) > m_policy.homeStartTimeout) {
@@ -108,9 +110,11 @@
         return;
     }
     ++run.stopsInFlight;
-    run.nextStopAt = now + m_policy.commandRetryDelay;
+    constexpr std::uint32_t kMaxDoublings = 4;
+    run.nextStopAt = now + m_pacer.retryDelay() * (1U << std::min(run.stopsSent, kMaxDoublings));
+    ++run.stopsSent;
     m_observer.runDecided("stop", name, target.tracker.target().name, run.progress);
-    m_commands.stop({ target.tracker.targetAddress(), target.tracker.token(), name });
+    m_commands.stop({ target.tracker.targetAddress(), target.tracker.token(), name, m_pacer.responseTimeout() });
 }
 
 void Dispatcher::Impl::removeStoppingRun(const JobId &id)
@@ -172,11 +176,36 @@
     }
 }
 
+/// A target that is down doesn't slow down the commands to others, but if most are unreachable, this instance or its link
+/// may be the cause.
+void Dispatcher::Impl::recordUnanswered(const OwnedTarget &target, Instant now)
+{
+    const auto unreachable = static_cast<std::size_t>(std::count_if(
+        m_targets.begin(), m_targets.end(), [](const auto &it) { return !it.second->tracker.reachable; }));
+    if (target.tracker.reachable || unreachable * 2 > m_targets.size()) {
+        m_pacer.unanswered(now);
+    }
+}
+
+void Dispatcher::Impl::recordResponseTime(const OwnedTarget &target,
+                                          const TrackedRun &run,
+                                          const CommandResult &result,
+                                          Instant now)
+{
+    if (result.status == CommandStatus::NoResponse) {
+        recordUnanswered(target, now);
+    } else if (result.status != CommandStatus::NotSent && run.startsSent == 1) {
+        m_pacer.answered(now - run.dispatchedAt, now);
+    }
+}
+
 void Dispatcher::Impl::startAnswered(const TargetName &name,
                                      const RunName &runName,
                                      const CommandResult &result,
                                      Instant now)
 {
+    const bool wasLimited = !m_pacer.mayStart();
+    m_pacer.startEnded();
     OwnedTarget *target = find(name);
     if (target == nullptr) {
         return;
@@ -188,6 +217,7 @@
     if (run == nullptr) {
         return; // The end of the run was reported before the result of its start.
     }
+    recordResponseTime(*target, *run, result, now);
     run->startsInFlight -= std::min(run->startsInFlight, 1U);
     if (result.status == CommandStatus::Accepted) {
         if (run->state == RunState::Starting) {
@@ -195,6 +225,9 @@
             run->startedAt = now;
             run->progressedAt = now;
         }
+        if (wasLimited) {
+            placeWaiting(now);
+        }
         return;
     }
     m_observer.runDecided(commandStatusName(result.status), runName, name, 0);
--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -122,8 +122,9 @@
         command.wait = std::chrono::milliseconds(0);
     }
     command.number = ++m_lastInspection;
-    tracker.inspections.emplace(command.number, now);
-    tracker.inspectOverdueAt = now + command.wait + m_policy.commandRetryDelay;
+    tracker.inspections.emplace(command.number, SentInspection { command.number, now, command.wait.count() == 0 });
+    command.responseTimeout = m_pacer.responseTimeout();
+    tracker.inspectOverdueAt = now + command.wait + m_pacer.retryDelay();
     m_commands.inspect(command);
 }
 
@@ -139,9 +140,12 @@
     if (inspection == tracker.inspections.end()) {
         return; // Sent during an earlier ownership of the target.
     }
-    const Instant sentAt = inspection->second;
+    const SentInspection sent = inspection->second;
     tracker.inspections.erase(inspection);
-    if (result.hasClock && tracker.isOutdated(report, result.clock, sentAt)) {
+    if (sent.isPrompt) {
+        m_pacer.answered(now - sent.sentAt, now);
+    }
+    if (result.hasClock && tracker.isOutdated(report, result.clock, sent.sentAt)) {
         return;
     }
     tracker.failures = 0;
@@ -150,7 +154,7 @@
     }
     tracker.reachable = true;
     const std::uint64_t acknowledged = tracker.lastEnd();
-    const ReportChanges changes = tracker.reconcile(report, result.clock, { number, sentAt }, now);
+    const ReportChanges changes = tracker.reconcile(report, result.clock, sent, now);
     if (result.hasClock) {
         tracker.sampleClock(result.clock, now);
     }
@@ -203,15 +207,16 @@
     TargetTracker &tracker = target->tracker;
     if (result.status == CommandStatus::NoResponse) {
         recordNoResponse(*target, now);
+        recordUnanswered(*target, now);
         if (!tracker.inspections.empty()) {
             return; // Wait for the result of the inspection sent since.
         }
     }
     ++tracker.failures;
-    const auto delay =
-        std::min(kMaxInspectRetryDelay, kMinInspectRetryDelay * (1U << std::min(tracker.failures - 1, 4U)));
-    tracker.nextInspectAt = now + delay;
-    if (tracker.failures == 1 && result.status == CommandStatus::NoResponse) {
+    const Duration minDelay = std::max(kMinInspectRetryDelay, m_pacer.retryDelay());
+    const Duration maxDelay = std::max(kMaxInspectRetryDelay, minDelay);
+    tracker.nextInspectAt = now + std::min(maxDelay, minDelay * (1U << std::min(tracker.failures - 1, 4U)));
+    if (tracker.failures == 1 && result.status == CommandStatus::NoResponse && !m_pacer.isLossy()) {
         // A single response may have been lost: retry at once, without a long poll.
         inspect(*target, now);
         return;
--- a/lib/Dispatch/TargetTracker.h
+++ b/lib/Dispatch/TargetTracker.h
@@ -40,6 +40,7 @@
     std::uint32_t startsSent = 0; ///< Start commands sent, all with the same run number.
     std::uint32_t startsInFlight = 0;
     std::uint32_t stopsInFlight = 0;
+    std::uint32_t stopsSent = 0;
     double expectedLogRun = 0; ///< Expected logarithm of the run time in microseconds on the reference target.
     double sizeVariance = 0;
     Duration callerEstimate {};
@@ -52,6 +53,7 @@
 {
     std::uint64_t number = 0; ///< Increases with each inspection of a dispatcher.
     Instant sentAt {};
+    bool isPrompt = false; ///< The target responds at once: its response time is that of the network.
 };
 
 /// Differences between a report and the tracked state.
@@ -143,7 +145,7 @@
     bool inspected = false; ///< Has reported under the current token.
     bool reachable = true; ///< Answered the last inspection.
     bool fenced = false; ///< Has seen the higher token of another owner.
-    std::map<std::uint64_t, Instant> inspections; ///< Inspections in flight: number and time sent.
+    std::map<std::uint64_t, SentInspection> inspections; ///< Inspections in flight, by number.
     Instant inspectOverdueAt {}; ///< When the response to the latest inspection is overdue.
     Instant nextInspectAt {};
     std::uint32_t failures = 0; ///< Consecutive failed inspections.
--- a/unittests/Dispatch/DispatcherLoadTest.cpp
+++ b/unittests/Dispatch/DispatcherLoadTest.cpp
@@ -41,6 +41,7 @@
         int submitted = 0;
         int inTime = 0;
         int complete = 0;
+        int completeTasks = 0;
         int refused = 0;
         Duration longestToRefusal {};
     };
@@ -81,6 +82,7 @@
         Tally &tally = tallies[job.priority];
         if (end.outcome == JobOutcome::Complete) {
             ++tally.complete;
+            tally.completeTasks += static_cast<int>(job.tasks);
             tally.inTime += queue.now() <= job.objective ? 1 : 0;
         }
         if (end.outcome == JobOutcome::Refused) {
@@ -93,6 +95,7 @@
     }
     void runDecided(std::string_view decision, const RunName &, const TargetName &target, double) override
     {
+        ++decisions[std::string(decision)];
         if (decision == "start") {
             ++starts[target];
         }
@@ -114,11 +117,13 @@
     Dispatcher dispatcher;
     std::map<std::uint32_t, Tally> tallies; ///< By priority.
     std::map<TargetName, int> starts;
+    std::map<std::string, int> decisions; ///< By name.
 
 private:
     struct Pending
     {
         std::uint32_t priority;
+        std::uint32_t tasks;
         Instant submitted;
         Instant objective;
     };
@@ -156,7 +161,7 @@
         }
         const Instant objective =
             queue.now() + std::chrono::duration_cast<Duration>(work * request.stretch) + request.latencyTarget;
-        m_pending[ticket] = { type.priority, queue.now(), objective };
+        m_pending[ticket] = { type.priority, step.tasks, queue.now(), objective };
         ++tallies[type.priority].submitted;
         dispatcher.homeContacted(kHome, queue.now());
         dispatcher.submit({ kHome, ticket }, std::move(request), queue.now());
@@ -178,6 +183,8 @@
     CPPUNIT_TEST(lostAnswers_mostJobsInTime);
     CPPUNIT_TEST(ordersCarriedOutLate_mostJobsInTime);
     CPPUNIT_TEST(thirdOfCommandsDelayed_urgentJobsServed);
+    CPPUNIT_TEST(fullLink_loadGrows_servedWorkStays);
+    CPPUNIT_TEST(fullLink_commandsSlow_notRepeated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -280,7 +287,54 @@
         assertShare(tallies.at(0).complete, tallies.at(0), 0.75);
     }
 
+    void fullLink_loadGrows_servedWorkStays()
+    {
+        // Past saturation at least 0.8 of the work at saturation. The full load takes about 4 Mbit/s.
+        for (const double mbps : { 1.0, 2.0, 4.0, 8.0, 20.0 }) {
+            int most = 0;
+            for (const double load : { 0.25, 0.5, 1.0, 1.5, 2.0 }) {
+                const int served = completeOverLink(mbps, load);
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(mbps) + " Mbit/s, load " + std::to_string(load) + ": "
+                                           + std::to_string(served) + " of " + std::to_string(most),
+                                       served >= most * 0.8);
+                most = std::max(most, served);
+            }
+            CPPUNIT_ASSERT(most > 0);
+        }
+    }
+
+    void fullLink_commandsSlow_notRepeated()
+    {
+        LoadedZone zone(9);
+        zone.fleet.link.bytesPerSecond = kBytesPerMbit;
+        runMixedLoad(zone, 1.0, 20);
+        // Commands that wait for the link must not be taken for lost: each copy takes room from others.
+        const int starts = zone.decisions["start"];
+        CPPUNIT_ASSERT(starts > 0);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(zone.decisions["start_repeated"]) + " of " + std::to_string(starts),
+                               zone.decisions["start_repeated"] < starts / 10);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(zone.decisions["stop"]) + " of " + std::to_string(starts),
+                               zone.decisions["stop"] < starts / 10);
+        CPPUNIT_ASSERT(zone.fleet.violations().empty());
+    }
+
 private:
+    static constexpr double kBytesPerMbit = 125000;
+
+    /// @returns the number of tasks of complete jobs: what a full link limits, since urgent jobs have more tasks.
+    static int completeOverLink(double mbps, double load)
+    {
+        LoadedZone zone(8);
+        zone.fleet.link.bytesPerSecond = mbps * kBytesPerMbit;
+        runMixedLoad(zone, load, 10);
+        CPPUNIT_ASSERT(zone.fleet.violations().empty());
+        int sum = 0;
+        for (const auto &it : zone.tallies) {
+            sum += it.second.completeTasks;
+        }
+        return sum;
+    }
+
     static void runMixedLoad(LoadedZone &zone, double factor, int seconds)
     {
         for (const JobType &it : { kUrgentWide, kShort, kLong }) {
--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -10,7 +10,10 @@
 namespace
 {
 
-constexpr Duration kCommandTimeout = std::chrono::milliseconds(150);
+// Sizes on the link, with the headers of all layers.
+constexpr double kStartBytes = 1500;
+constexpr double kCommandBytes = 450;
+constexpr double kResponseBytes = 400;
 /// Interval at which a long-polling inspection checks for ended runs.
 constexpr Duration kPollInterval = std::chrono::milliseconds(3);
 constexpr TargetTime kLongestLease { 1000 };
@@ -49,6 +52,22 @@
     m_now = end;
 }
 
+Duration FakeLink::transmit(double bytes, Instant now)
+{
+    if (bytesPerSecond <= 0) {
+        return {};
+    }
+    const Duration time(static_cast<Duration::rep>(bytes / bytesPerSecond * 1e6));
+    m_freeAt = std::max(m_freeAt, now) + time;
+    m_busy += time;
+    return m_freeAt - now;
+}
+
+double FakeLink::utilization(Instant since, Instant now) const
+{
+    return static_cast<double>(m_busy.count()) / static_cast<double>((now - since).count());
+}
+
 FakeTarget::FakeTarget(DispatchTarget info, double slowness, double clockRate)
     : description(std::move(info))
     , m_slowness(slowness)
@@ -238,15 +257,23 @@
 
 void FakeTargetCommands::transmit(const std::function<CommandResult(FakeTarget &)> &command,
                                   const TargetName &target,
+                                  double bytes,
                                   Duration responseTimeout,
                                   std::function<void(const CommandResult &)> respond)
 {
     RandomSource &random = m_fleet.random;
-    const Duration requestDelay = std::chrono::microseconds(100 + drawBelow(random, 2000));
+    const Duration requestDelay =
+        std::chrono::microseconds(100 + drawBelow(random, 2000)) + m_fleet.link.transmit(bytes, m_queue.now());
     const Duration responseDelay = std::chrono::microseconds(100 + drawBelow(random, 2000));
-    const auto unanswered = [this, responseTimeout, respond] {
-        m_queue.after(responseTimeout, [this, respond] { deliver([respond] { respond({}); }); });
+    // The first of the response and the timeout counts.
+    const auto isEnded = std::make_shared<bool>(false);
+    const auto endOnce = [this, respond, isEnded](const CommandResult &result) {
+        if (!*isEnded) {
+            *isEnded = true;
+            deliver([respond, result] { respond(result); });
+        }
     };
+    m_queue.after(responseTimeout, [endOnce] { endOnce({}); });
     const auto execute = [this, command, target]() -> CommandResult {
         FakeTarget *found = find(target);
         const CommandResult result = found != nullptr ? command(*found) : CommandResult {};
@@ -254,11 +281,9 @@
         return result;
     };
     if (isolated || drawChance(random, m_fleet.faults.lostCommands)) {
-        unanswered();
         return;
     }
     if (drawChance(random, m_fleet.faults.delayedCommands)) {
-        unanswered();
         // The target has received the command and delays it: it is lost when the target restarts.
         const FakeTarget *receiver = find(target);
         const std::uint64_t incarnation = receiver != nullptr ? receiver->description.incarnation : 0;
@@ -271,13 +296,11 @@
         return;
     }
     const bool responseLost = drawChance(random, m_fleet.faults.lostResponses);
-    if (responseLost) {
-        unanswered();
-    }
-    m_queue.after(requestDelay, [this, execute, respond, responseDelay, responseLost] {
+    m_queue.after(requestDelay, [this, execute, endOnce, responseDelay, responseLost] {
         const CommandResult result = execute();
         if (!responseLost) {
-            m_queue.after(responseDelay, [this, respond, result] { deliver([respond, result] { respond(result); }); });
+            const Duration delay = responseDelay + m_fleet.link.transmit(kResponseBytes, m_queue.now());
+            m_queue.after(delay, [endOnce, result] { endOnce(result); });
         }
     });
 }
@@ -303,7 +326,8 @@
             return result;
         },
         command.target.name,
-        kCommandTimeout,
+        kStartBytes,
+        command.responseTimeout,
         [this, copy](const CommandResult &result) {
             dispatcher->startAnswered(copy.target.name, copy.run, result, m_queue.now());
         });
@@ -313,7 +337,8 @@
 {
     transmit([this, command](FakeTarget &target) { return target.stop(command.token, command.run, m_queue.now()); },
              command.target.name,
-             kCommandTimeout,
+             kCommandBytes,
+             command.responseTimeout,
              [this, command](const CommandResult &result) {
                  dispatcher->stopAnswered(command.target.name, command.run, result, m_queue.now());
              });
@@ -334,7 +359,8 @@
     };
     transmit(inspectTarget,
              command.target.name,
-             command.wait + kCommandTimeout,
+             kCommandBytes,
+             command.wait + command.responseTimeout,
              [this, command, report, respond](const CommandResult &result) {
                  const bool mayWait =
                      command.wait.count() > 0 && result.status == CommandStatus::Accepted && report->ended.empty();
--- a/unittests/Dispatch/FakeFleet.h
+++ b/unittests/Dispatch/FakeFleet.h
@@ -42,6 +42,22 @@
     double delayedCommands = 0; ///< Share of commands that are not answered, and executed 2 to 12 s later.
 };
 
+/// The link of the dispatcher's instance, which all commands and responses share.
+class FakeLink
+{
+public:
+    /// @returns how long a message of @p bytes takes to pass, after those sent before it.
+    Duration transmit(double bytes, Instant now);
+    /// @returns how much of the link's time has been used, from 0 to 1, since @p since.
+    [[nodiscard]] double utilization(Instant since, Instant now) const;
+
+    double bytesPerSecond = 0; ///< 0: unlimited.
+
+private:
+    Instant m_freeAt {};
+    Duration m_busy {};
+};
+
 /// A simulated target.
 class FakeTarget
 {
@@ -105,6 +121,7 @@
 
     std::vector<FakeTarget> targets;
     NetworkFaults faults;
+    FakeLink link;
     RandomSource random;
 
 private:
@@ -145,6 +162,7 @@
     /// Sends a command to a target, subject to the network faults.
     void transmit(const std::function<CommandResult(FakeTarget &)> &command,
                   const TargetName &target,
+                  double bytes,
                   Duration responseTimeout,
                   std::function<void(const CommandResult &)> respond);
     void waitForEnd(const InspectCommand &command,
