Peers: a message that may have been delayed counts as an earlier contact

A status now echoes the receiver's clock, as a submitted job already does; a message whose echo is older than 250 ms counts as a contact of the echoed time. 250 ms and the lease of 1,020 ms stay below the 1,300 ms after which a caller submits again.

Also: sessions that carry jobs exchange a status every 80 ms whatever their owner says, so that a home's jobs at an instance that is giving up its targets are not delayed. PeerLinkTest: four new tests; the first two fail without the change (contacts are of the time of arrival).

--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -116,8 +116,8 @@
     void submit(const JobOrigin &origin, JobRequest request, Instant now);
     /// The caller disconnected or canceled.
     void cancel(const JobOrigin &origin, Instant now);
-    /// A message from a home instance was received.
-    void homeContacted(const InstanceName &home, Instant now);
+    /// A home instance was alive at @p when. Contacts may be reported out of order; the latest counts.
+    void homeContacted(const InstanceName &home, Instant when);
     /// A home instance is gone or its session has ended: stops its jobs.
     void homeLost(const InstanceName &home, Instant now);
     /// Planned shutdown: running jobs continue, and new ones are accepted only if they can end by @p until. This uses
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -144,9 +144,10 @@
     }
 }
 
-void Dispatcher::Impl::homeContacted(const InstanceName &home, Instant now)
+void Dispatcher::Impl::homeContacted(const InstanceName &home, Instant when)
 {
-    m_homes[home] = now;
+    Instant &latest = m_homes[home];
+    latest = std::max(latest, when);
 }
 
 void Dispatcher::Impl::homeLost(const InstanceName &home, Instant now)
@@ -389,9 +390,9 @@
     m_impl->cancel(origin, now);
 }
 
-void Dispatcher::homeContacted(const InstanceName &home, Instant now)
+void Dispatcher::homeContacted(const InstanceName &home, Instant when)
 {
-    m_impl->homeContacted(home, now);
+    m_impl->homeContacted(home, when);
 }
 
 void Dispatcher::homeLost(const InstanceName &home, Instant now)
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -29,7 +29,7 @@
     // Jobs.
     void submit(const JobOrigin &origin, JobRequest request, Instant now);
     void cancel(const JobOrigin &origin, Instant now);
-    void homeContacted(const InstanceName &home, Instant now);
+    void homeContacted(const InstanceName &home, Instant when);
     void homeLost(const InstanceName &home, Instant now);
     void drain(Instant until, Instant now);
     void advance(Instant now);
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -56,6 +56,7 @@
 
     // PeerEventHandler.
     bool peerMessageReceived(const InstanceName &peer) override;
+    void peerContacted(const InstanceName &peer, Instant when) override;
     void
     peerStatusReceived(const InstanceName &peer, const ZoneName &zone, bool owner, const DispatcherLoad &load) override;
     void sessionEnded(const InstanceName &peer, const std::string &why) override;
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -214,13 +214,14 @@
     runDeferredCalls();
 }
 
-bool DispatchNode::Impl::peerMessageReceived(const InstanceName &peer)
+bool DispatchNode::Impl::peerMessageReceived(const InstanceName &)
 {
-    if (!beginEvent()) {
-        return false;
-    }
-    m_dispatcher.homeContacted(peer, m_now);
-    return true;
+    return beginEvent();
+}
+
+void DispatchNode::Impl::peerContacted(const InstanceName &peer, Instant when)
+{
+    m_dispatcher.homeContacted(peer, when);
 }
 
 void DispatchNode::Impl::peerStatusReceived(const InstanceName &peer,
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -36,6 +36,10 @@
 /// Maximum time that a job may spend in transit: less than the timeout after which its home declares the dispatcher
 /// dead (JobRouterPolicy::dispatcherTimeout), and several intervals of the status messages that carry the clock value.
 constexpr Duration kMaxJobTransitTime = std::chrono::milliseconds(500);
+/// A message counts as a contact of the time of its arrival only if it can't have been in transit for longer. Two status
+/// intervals and their processing; the lease of a run adds to it, and the sum must stay below the time after which a
+/// caller resubmits a job, as for DispatcherPolicy::homeStartTimeout.
+constexpr Duration kMaxContactDelay = std::chrono::milliseconds(250);
 /// Timeouts of connections between instances. They are short because a takeover waits for them.
 constexpr PeerTiming kPeerTiming {
     std::chrono::milliseconds(700),
@@ -214,9 +218,7 @@
 
 Duration PeerLink::statusInterval(const InstanceName &name, const Peer &peer) const
 {
-    const bool runsItsJobs = m_status.owner && peer.wantsJobs;
-    const bool runsOurJobs = peer.owner && m_selector.isJobPeer(name);
-    return runsItsJobs || runsOurJobs ? kJobStatusInterval : kWatchStatusInterval;
+    return peer.wantsJobs || m_selector.isJobPeer(name) ? kJobStatusInterval : kWatchStatusInterval;
 }
 
 void PeerLink::sendStatus(const InstanceName &name, Peer &peer, Instant now)
@@ -237,6 +239,7 @@
     }
     status.set_candidate(m_status.candidate);
     status.set_sent_us(toMicroseconds(now));
+    status.set_heard_clock_us(peer.remoteClockUs);
     status.set_heard_age_us(static_cast<std::uint64_t>((now - std::max(peer.lastReceivedAt, peer.openedAt)).count()));
     status.set_config_version(m_status.configVersion.value);
     peer.lastSentAt = now;
@@ -309,6 +312,20 @@
     return view;
 }
 
+/// A message echoes the latest value of this instance's clock that its sender had received, so it was sent after that
+/// time. If that is long ago, the message may have been delayed, and counts as a contact of that time only: otherwise the
+/// runs of a home that has given up would be kept alive for as long as its messages are delayed.
+void PeerLink::recordContact(const InstanceName &name, std::uint64_t echoedClock, Instant now)
+{
+    const std::uint64_t clock = toMicroseconds(now);
+    if (echoedClock == 0) {
+        m_events.peerContacted(name, now); // The sender has not received a status yet.
+    } else if (echoedClock <= clock) {
+        const Duration age(static_cast<Duration::rep>(clock - echoedClock));
+        m_events.peerContacted(name, age <= kMaxContactDelay ? now : now - age);
+    }
+}
+
 /// Refuses a job that may have been delayed in the network, because its home may have declared this dispatcher dead and
 /// the caller may have resubmitted the job meanwhile. The message echoes the latest value of this instance's clock that
 /// its home had received when it sent the job, so the transit time is at most the age of that value.
@@ -320,6 +337,7 @@
     const bool isFresh =
         echoedClock == 0 || (echoedClock <= clock && Duration(clock - echoedClock) <= kMaxJobTransitTime);
     if (isFresh) {
+        recordContact(name, echoedClock, now);
         m_events.peerSubmittedJob(name, message.ticket(), std::move(request));
         return;
     }
@@ -371,6 +389,7 @@
     if (message.wants_session()) {
         peer.lastWantedAt = now;
     }
+    recordContact(name, message.heard_clock_us(), now);
     m_selector.ownerReported(name, message.owner(), now);
     std::vector<InstanceName> listedOwners;
     for (const auto &it : message.known_owners()) {
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -32,6 +32,8 @@
     /// Called for each message of a peer, before the handler of its type.
     /// @returns false if the message is too old to be processed.
     virtual bool peerMessageReceived(const InstanceName &peer) = 0;
+    /// The peer was alive at @p when, which may be before now: its message may have been delayed in transit.
+    virtual void peerContacted(const InstanceName &peer, Instant when) = 0;
     /// @param owner whether the peer owns targets on which jobs of this instance may run
     virtual void
     peerStatusReceived(const InstanceName &peer, const ZoneName &zone, bool owner, const DispatcherLoad &load) = 0;
@@ -110,6 +112,7 @@
     [[nodiscard]] bool adopt(const InstanceName &name, const schema::PeerMessage &message);
     [[nodiscard]] bool isReachable(const InstanceName &name, Instant now) const;
     [[nodiscard]] std::size_t zoneTargets() const;
+    void recordContact(const InstanceName &name, std::uint64_t echoedClock, Instant now);
     void handleJob(const InstanceName &name, const schema::DispatchJob &message, Instant now);
     void checkOutgoingConnection(const InstanceName &name, Peer &peer, Duration lastReceivedAge, Instant now);
     void sendStatus(const InstanceName &name, Peer &peer, Instant now);
--- a/unittests/Node/PeerLinkTest.cpp
+++ b/unittests/Node/PeerLinkTest.cpp
@@ -23,6 +23,10 @@
     {
         return true;
     }
+    void peerContacted(const InstanceName &, Instant when) override
+    {
+        contacts.push_back(when);
+    }
     void peerStatusReceived(const InstanceName &, const ZoneName &, bool, const DispatcherLoad &) override
     {
         ++statuses;
@@ -49,6 +53,7 @@
         return m_configuration;
     }
 
+    std::vector<Instant> contacts;
     int jobs = 0;
     int statuses = 0;
     int brokenConnections = 0;
@@ -91,6 +96,10 @@
     CPPUNIT_TEST(status_peerReceives_connectionKept);
     CPPUNIT_TEST(job_delayedInTransit_refusedWithoutStart);
     CPPUNIT_TEST(job_shortTransit_accepted);
+    CPPUNIT_TEST(status_delayedInTransit_countsAsEarlierContact);
+    CPPUNIT_TEST(status_shortTransit_countsAsContactNow);
+    CPPUNIT_TEST(session_peerWantsNone_closed);
+    CPPUNIT_TEST(session_unknownPeerWantsOne_opened);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,13 +108,14 @@
         EventLoop::prepare();
         m_peer = std::make_unique<PeerNetwork>(
             m_handler, PeerId { InstanceName("b"), IncarnationId(2) }, std::vector<PeerEndpoint> {});
-        const auto peerPort = std::get<std::uint16_t>(m_peer->start("127.0.0.1", 0));
+        m_peerPort = std::get<std::uint16_t>(m_peer->start("127.0.0.1", 0));
+        m_wantsSession = false;
         m_peerLink = std::make_unique<PeerLink>(
             InstanceRegistration { InstanceName("a"), ZoneName("zone"), "127.0.0.1", kLinkPort },
             IncarnationId(1),
             m_events);
         CPPUNIT_ASSERT(isOk(m_peerLink->start()));
-        m_peerLink->addInstance({ InstanceName("b"), ZoneName("zone"), "127.0.0.1", peerPort });
+        m_peerLink->addInstance({ InstanceName("b"), ZoneName("zone"), "127.0.0.1", m_peerPort });
         QObject::connect(&m_advanceTimer, &QTimer::timeout, &m_advanceTimer, [this] {
             m_peerLink->advance({}, {}, suspendAwareNow());
         });
@@ -153,7 +163,52 @@
         CPPUNIT_ASSERT(m_handler.ends.empty());
     }
 
+    void status_delayedInTransit_countsAsEarlierContact()
+    {
+        const Instant echoed = suspendAwareNow() - std::chrono::milliseconds(400);
+        sendEchoingStatus(echoed);
+        CPPUNIT_ASSERT(m_events.contacts.back() == echoed);
+    }
+
+    void status_shortTransit_countsAsContactNow()
+    {
+        const Instant before = suspendAwareNow();
+        sendEchoingStatus(before - std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT(m_events.contacts.back() >= before);
+    }
+
+    void session_peerWantsNone_closed()
+    {
+        // A peer of another zone that is no owner is tried and given up.
+        m_peerLink->removeInstance(InstanceName("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_peerLink->sessions());
+        m_peerLink->addInstance({ InstanceName("b"), ZoneName("elsewhere"), "127.0.0.1", m_peerPort });
+        EventLoop::waitFor([this] { return m_peerLink->sessions() == 1; });
+        EventLoop::waitFor([this] { return m_peerLink->sessions() == 0; });
+    }
+
+    void session_unknownPeerWantsOne_opened()
+    {
+        m_peerLink->removeInstance(InstanceName("b"));
+        m_peerLink->addInstance({ InstanceName("b"), ZoneName("elsewhere"), "127.0.0.1", m_peerPort });
+        EventLoop::waitFor([this] { return m_peerLink->sessions() == 0; });
+        m_wantsSession = true;
+        sendStatusUntil(std::chrono::milliseconds(50), [this] { return m_peerLink->sessions() == 1; });
+    }
+
 private:
+    void sendEchoingStatus(Instant echoed)
+    {
+        sendStatusUntil(std::chrono::milliseconds(50), [this] { return m_events.statuses > 0; });
+        const std::size_t n = m_events.contacts.size();
+        schema::PeerMessage message;
+        auto &status = *message.mutable_dispatch_status();
+        status.set_session(1);
+        status.set_heard_clock_us(static_cast<std::uint64_t>(echoed.time_since_epoch().count()));
+        m_peer->send(InstanceName("a"), message);
+        EventLoop::waitFor([this, n] { return m_events.contacts.size() > n; });
+    }
+
     /// Sends a job whose echoed clock value is @p transit old.
     void sendJob(Duration transit)
     {
@@ -176,6 +231,7 @@
             auto &status = *message.mutable_dispatch_status();
             status.set_session(1);
             status.set_owner(true);
+            status.set_wants_session(m_wantsSession);
             status.set_heard_age_us(static_cast<std::uint64_t>(heardAge.count()));
             m_peer->send(InstanceName("a"), message);
         });
@@ -189,6 +245,8 @@
     RecordingPeer m_handler;
     CountingPeerEvents m_events;
     QTimer m_advanceTimer;
+    std::uint16_t m_peerPort = 0;
+    bool m_wantsSession = false;
     std::unique_ptr<PeerNetwork> m_peer;
     std::unique_ptr<PeerLink> m_peerLink;
 };
