--- a/include/eelgrasscleat/Node/DispatchNode.h
+++ b/include/eelgrasscleat/Node/DispatchNode.h
@@ -19,6 +19,7 @@
 struct NodeSettings
 {
     InstanceRegistration self;
+    bool isBootstrap = false; ///< The whole deployment starts for the first time.
     DispatcherPolicy dispatcher;
     JobRouterPolicy router;
     OwnershipPolicy ownership;
--- a/lib/Dispatch/ZoneOwnership.cpp
+++ b/lib/Dispatch/ZoneOwnership.cpp
@@ -52,6 +52,11 @@
     return !m_stopping && m_shards.empty() && now >= m_rejoinAt;
 }
 
+bool ZoneOwnership::wantsTargetCount(const ZoneView &view, Instant now) const
+{
+    return m_member || (isCandidate(now) && !view.takesOverLate && view.hasPeers && view.otherOwners == 0);
+}
+
 void ZoneOwnership::stop()
 {
     m_stopping = true;
@@ -63,7 +68,7 @@
         return false;
     }
     if (isCandidate(now) && view.otherOwners == 0 && view.hasPeers && view.allPeersReachable
-        && view.precedingCandidates == 0) {
+        && view.precedingCandidates < std::max<std::size_t>(1, neededOwners(view))) {
         return true;
     }
     const Duration extraDelay = view.takesOverLate ? m_policy.extraTakeoverDelay : Duration::zero();
@@ -180,7 +185,11 @@
 {
     m_inFlight = false;
     const bool isWaiting = m_shards.empty() && answer.shards.empty();
-    m_nextRenewAt = now + (isWaiting ? m_policy.pendingRenewInterval : m_policy.renewInterval);
+    const bool isFirst = m_shards.empty() && !answer.shards.empty();
+    m_nextRenewAt = now
+        + (isFirst         ? m_policy.firstRenewDelay
+               : isWaiting ? m_policy.pendingRenewInterval
+                           : m_policy.renewInterval);
     m_hasOtherOwners = !answer.isSoleOwner;
     if (m_shards.empty()) {
         m_isolatedSince = now;
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -3,6 +3,7 @@
 #include "DecisionLog.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 
 namespace Eelgrasscleat
@@ -29,6 +30,7 @@
 
 DecisionLog::DecisionLog(Metrics &metrics)
     : m_metrics(metrics)
+    , m_sessions(metrics.gauge("eelgrasscleat_peer_sessions", "", "", "Sessions with other instances"))
 {
 }
 
@@ -143,4 +145,9 @@
     writeLog(LogLevel::Info, event, fields);
 }
 
+void DecisionLog::setSessions(std::size_t sessions)
+{
+    m_sessions.Set(static_cast<double>(sessions));
+}
+
 } // namespace Eelgrasscleat
--- a/lib/Node/DecisionLog.h
+++ b/lib/Node/DecisionLog.h
@@ -32,11 +32,15 @@
     /// @param event log message and metric label
     void recordEvent(std::string_view event, std::initializer_list<LogField> fields);
 
+    /// Updates the metric of the number of sessions with peers.
+    void setSessions(std::size_t sessions);
+
 private:
     /// @returns whether a line may be written, and counts it towards the limit or the dropped lines.
     [[nodiscard]] bool acquireLine(Instant now);
 
     Metrics &m_metrics;
+    prometheus::Gauge &m_sessions;
     Instant m_windowStart {};
     std::uint32_t m_linesInWindow = 0; ///< Lines written since m_windowStart.
     std::uint32_t m_droppedLines = 0;
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -34,7 +34,7 @@
     , m_router(settings.router, settings.self.zone, *this)
     , m_ownership(settings.ownership)
     , m_targets(settings.targetRemovalGrace)
-    , m_peerLink(settings.self, IncarnationId(random), *this)
+    , m_peerLink(settings.self, IncarnationId(random), *this, settings.isBootstrap)
 {
     m_advanceTimer.setInterval(kAdvanceInterval);
     QObject::connect(&m_advanceTimer, &QTimer::timeout, &m_advanceTimer, [this] {
@@ -115,6 +115,7 @@
     }
     status.zoneTargets = zoneTargets();
     m_peerLink.advance(status, m_router.dispatchersInUse(), m_now);
+    m_log.setSessions(m_peerLink.sessions());
     m_router.advance(m_now);
     runDeferredCalls();
     const bool ready = m_configuration.isKnown() && !m_onStopped && m_router.dispatcherCount() > 0;
@@ -137,6 +138,12 @@
     view.ownedTargets = std::max<std::size_t>(view.ownedTargets, m_dispatcher.load().targets);
     const MembershipAction action = m_ownership.advance(view, areHandoverTargetsIdle(), m_now);
     applyOwnership();
+    // Started before the first shards are assigned, so that the list is available then.
+    const bool wantsTargets = m_ownership.wantsTargetCount(view, m_now);
+    m_store->watchTargets(wantsTargets);
+    if (!wantsTargets) {
+        m_targets.clear();
+    }
     if (action == MembershipAction::None) {
         return;
     }
@@ -207,11 +214,6 @@
         }
         assignOwnedTargets();
     }
-    // Started with the first membership renewal, so that the list is available when the first shards are assigned.
-    m_store->watchTargets(m_ownership.isMember());
-    if (!m_ownership.isMember()) {
-        m_targets.clear();
-    }
     for (const TargetName &it : m_dispatcher.targets()) {
         m_dispatcher.setAccepting(it, m_onStopped || !m_ownership.isHandingOver(shardOfTarget(it)));
     }
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -26,8 +26,9 @@
 constexpr Duration kOwnerListInterval = std::chrono::milliseconds(600);
 /// Interval of the selection of peers.
 constexpr Duration kSelectionInterval = std::chrono::milliseconds(200);
-/// When no instance of the zone was registered for this long, the list is taken as complete: instances that start at
-/// the same time register within 300 ms, and reads of the list follow each other after 200 ms.
+/// At the first start of a deployment, the list of instances is taken as complete when none of the zone was registered
+/// for this long: all instances register within 300 ms, and reads of the list follow each other after 200 ms. At later
+/// starts the first read returns all instances that were registered before.
 constexpr Duration kSettleTime = std::chrono::milliseconds(600);
 /// A session that neither side has wanted for this long is closed: several statuses.
 constexpr Duration kUnwantedTimeout = std::chrono::milliseconds(1000);
@@ -55,8 +56,9 @@
     return static_cast<std::uint64_t>(instant.time_since_epoch().count());
 }
 
-PeerLink::PeerLink(InstanceRegistration self, IncarnationId incarnation, PeerEventHandler &events)
-    : m_self(std::move(self))
+PeerLink::PeerLink(InstanceRegistration self, IncarnationId incarnation, PeerEventHandler &events, bool isBootstrap)
+    : m_isBootstrap(isBootstrap)
+    , m_self(std::move(self))
     , m_events(events)
     , m_network(*this, PeerId { m_self.name, incarnation }, {}, kPeerTiming)
     , m_selector({}, { m_self.name, m_self.zone, m_self.capacity }, incarnation.value)
@@ -288,7 +290,7 @@
     view.hasPeers = m_selector.zonePeers() > 0;
     view.allPeersReachable = std::all_of(
         candidates.begin(), candidates.end(), [&](const InstanceName &it) { return isReachable(it, now); });
-    view.isSettled = now - m_registeredAt >= kSettleTime;
+    view.isSettled = !m_isBootstrap || now - m_registeredAt >= kSettleTime;
     view.takesOverLate = !m_selector.isCandidate();
     for (const auto &it : m_peers) {
         if (it.second.registration.zone != m_self.zone || !isReachable(it.first, now)) {
@@ -331,26 +333,26 @@
 /// its home had received when it sent the job, so the transit time is at most the age of that value.
 void PeerLink::handleJob(const InstanceName &name, const schema::DispatchJob &message, Instant now)
 {
-    JobRequest request = readJob(message, now);
+    auto request = readJob(message, now);
     const std::uint64_t clock = toMicroseconds(now);
     const std::uint64_t echoedClock = message.heard_clock_us();
     const bool isFresh =
         echoedClock == 0 || (echoedClock <= clock && Duration(clock - echoedClock) <= kMaxJobTransitTime);
-    if (isFresh) {
+    if (isFresh && request) {
         recordContact(name, echoedClock, now);
-        m_events.peerSubmittedJob(name, message.ticket(), std::move(request));
+        m_events.peerSubmittedJob(name, message.ticket(), std::move(*request));
         return;
     }
     writeLog(LogLevel::Warn,
-             "job delayed in transit",
-             { { "job", request.id.value },
+             request ? "job delayed in transit" : "job malformed",
+             { { "job", message.id() },
                { "peer", name.value },
                { "ms", std::uint64_t { (clock - echoedClock) / 1000 } } });
     JobEnd end;
-    end.id = request.id;
+    end.id = JobId(message.id());
     end.ticket = message.ticket();
     end.outcome = JobOutcome::Refused;
-    end.reason = JobEndReason::DeliveryDelayed;
+    end.reason = request ? JobEndReason::DeliveryDelayed : JobEndReason::Malformed;
     reportJobEnd(name, end);
 }
 
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -50,7 +50,8 @@
 class PeerLink : public PeerNetworkHandler
 {
 public:
-    PeerLink(InstanceRegistration self, IncarnationId incarnation, PeerEventHandler &events);
+    /// @param isBootstrap whether the whole deployment starts for the first time
+    PeerLink(InstanceRegistration self, IncarnationId incarnation, PeerEventHandler &events, bool isBootstrap = false);
 
     Result<Done> start();
     /// Adds an instance, or updates its address.
@@ -119,6 +120,7 @@
     void handleStatus(const InstanceName &name, Peer &peer, const schema::DispatchStatus &message);
     [[nodiscard]] Duration statusInterval(const InstanceName &name, const Peer &peer) const;
 
+    bool m_isBootstrap;
     InstanceRegistration m_self;
     PeerEventHandler &m_events;
     PeerNetwork m_network;
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -64,7 +64,19 @@
     message.set_left_us(toMicroseconds(request.deadline - now));
 }
 
-JobRequest readJob(const schema::DispatchJob &message, Instant now)
+static bool isWellFormed(const JobRequest &request)
+{
+    for (std::size_t i = 0; i < request.steps.size(); ++i) {
+        const auto &after = request.steps[i].predecessors;
+        const bool precede = std::all_of(after.begin(), after.end(), [i](std::uint32_t it) { return it < i; });
+        if (request.steps[i].tasks == 0 || !precede) {
+            return false;
+        }
+    }
+    return !request.steps.empty();
+}
+
+std::optional<JobRequest> readJob(const schema::DispatchJob &message, Instant now)
 {
     JobRequest request;
     request.id = JobId(message.id());
@@ -80,6 +92,9 @@
     request.latencyTarget = toDuration(message.latency_target_us());
     request.submitted = now - toDuration(message.age_us());
     request.deadline = now + toDuration(message.left_us());
+    if (!isWellFormed(request)) {
+        return std::nullopt;
+    }
     return request;
 }
 
--- a/lib/Node/PeerMessages.h
+++ b/lib/Node/PeerMessages.h
@@ -15,7 +15,8 @@
 
 void writeJob(const JobRequest &request, std::uint64_t ticket, Instant now, schema::DispatchJob &message);
 /// @param now is taken as the time at which the message was sent
-JobRequest readJob(const schema::DispatchJob &message, Instant now);
+/// @returns nothing if the job has no task, a step has none, or a step waits for one that doesn't precede it.
+std::optional<JobRequest> readJob(const schema::DispatchJob &message, Instant now);
 
 void writeEnd(const JobEnd &end, schema::DispatchEnd &message);
 /// @returns nothing if the outcome or the reason is invalid.
--- a/unittests/Dispatch/ZoneOwnershipTest.cpp
+++ b/unittests/Dispatch/ZoneOwnershipTest.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST(standby_noOwnerReachable_joinsAfterDelay);
     CPPUNIT_TEST(standby_allPeersReachableAndFirst_joinsAtOnce);
     CPPUNIT_TEST(standby_allPeersReachableButNotFirst_waits);
+    CPPUNIT_TEST(standby_zoneNeedsMore_joinsTogetherWithFirst);
+    CPPUNIT_TEST(member_firstShards_renewsSoon);
+    CPPUNIT_TEST(targetCount_onlyCandidatesWithoutOwner_wanted);
     CPPUNIT_TEST(standby_stopping_isNoCandidate);
     CPPUNIT_TEST(member_withoutShards_renewsSoon);
     CPPUNIT_TEST(member_withoutShards_remainsCandidate);
@@ -73,6 +76,35 @@
         CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, false, 0 }) == MembershipAction::Renew);
     }
 
+    void standby_zoneNeedsMore_joinsTogetherWithFirst()
+    {
+        // 117 targets need three owners: after a restart of all, they share the zone before it has runs to hand over.
+        CPPUNIT_ASSERT(advance({ 0, 117, 0, true, true, true, 3 }) == MembershipAction::None);
+        CPPUNIT_ASSERT(advance({ 0, 117, 0, true, true, true, 2 }) == MembershipAction::Renew);
+    }
+
+    void member_firstShards_renewsSoon()
+    {
+        CPPUNIT_ASSERT(advance({ 0, 0, 0, true, true, true, 0 }) == MembershipAction::Renew);
+        m_ownership.renewed({ 7, kAllShards, true }, m_now);
+        m_now += std::chrono::milliseconds(50);
+        CPPUNIT_ASSERT(advance({ 0, 0, 0, true, true, true, 0 }) == MembershipAction::Renew);
+        m_ownership.renewed({ 7, kAllShards, true }, m_now);
+        m_now += std::chrono::milliseconds(240);
+        CPPUNIT_ASSERT(advance({ 0, 0, 0, true, true, true, 0 }) == MembershipAction::None);
+    }
+
+    void targetCount_onlyCandidatesWithoutOwner_wanted()
+    {
+        ZoneView view = reachablePeers();
+        CPPUNIT_ASSERT(m_ownership.wantsTargetCount(view, m_now));
+        view.takesOverLate = true;
+        CPPUNIT_ASSERT(!m_ownership.wantsTargetCount(view, m_now));
+        CPPUNIT_ASSERT(!m_ownership.wantsTargetCount(reachableOwners(1), m_now));
+        becomeOwner(7);
+        CPPUNIT_ASSERT(m_ownership.wantsTargetCount(reachableOwners(1), m_now));
+    }
+
     void standby_stopping_isNoCandidate()
     {
         CPPUNIT_ASSERT(m_ownership.isCandidate(m_now));
@@ -88,6 +120,9 @@
         m_now += std::chrono::milliseconds(100);
         CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, true, 0 }) == MembershipAction::Renew);
         m_ownership.renewed({ 8, kAllShards, true }, m_now);
+        m_now += std::chrono::milliseconds(50);
+        CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, true, 0 }) == MembershipAction::Renew);
+        m_ownership.renewed({ 8, kAllShards, true }, m_now);
         m_now += std::chrono::milliseconds(100);
         CPPUNIT_ASSERT(advance({ 0, 0, 1, true, true, true, 0 }) == MembershipAction::None);
         CPPUNIT_ASSERT(token() == FencingToken(8));
@@ -214,7 +249,7 @@
         // 100 targets need three owners: there is one, and two candidates precede this instance.
         const ZoneView overloaded { 1, 100, 1, true, true, true, 2 };
         CPPUNIT_ASSERT(advance(overloaded) == MembershipAction::None);
-        m_now += std::chrono::milliseconds(1499);
+        m_now += std::chrono::milliseconds(3999);
         CPPUNIT_ASSERT(advance(overloaded) == MembershipAction::None);
         m_now += std::chrono::milliseconds(1);
         CPPUNIT_ASSERT(advance(overloaded) == MembershipAction::Renew);
--- a/unittests/Node/PeerLinkTest.cpp
+++ b/unittests/Node/PeerLinkTest.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(status_peerReceives_connectionKept);
     CPPUNIT_TEST(job_delayedInTransit_refusedWithoutStart);
     CPPUNIT_TEST(job_shortTransit_accepted);
+    CPPUNIT_TEST(job_malformedSteps_refused);
     CPPUNIT_TEST(status_delayedInTransit_countsAsEarlierContact);
     CPPUNIT_TEST(status_shortTransit_countsAsContactNow);
     CPPUNIT_TEST(session_peerWantsNone_closed);
@@ -163,6 +164,31 @@
         CPPUNIT_ASSERT(m_handler.ends.empty());
     }
 
+    void job_malformedSteps_refused()
+    {
+        // A step without tasks, or one that waits for itself, would crash the dispatcher.
+        sendStatusUntil(std::chrono::milliseconds(50), [this] { return m_events.statuses > 0; });
+        for (const bool hasTasks : { false, true }) {
+            schema::PeerMessage message;
+            auto &job = *message.mutable_dispatch_job();
+            job.set_ticket(8);
+            job.set_id("job");
+            job.set_left_us(1000000);
+            auto &step = *job.add_steps();
+            step.set_tasks(hasTasks ? 1 : 0);
+            if (hasTasks) {
+                step.add_after(0);
+            }
+            m_peer->send(InstanceName("a"), message);
+        }
+        EventLoop::waitFor([this] { return m_handler.ends.size() == 2; });
+        for (const auto &it : m_handler.ends) {
+            CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(JobOutcome::Refused), it.outcome());
+            CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(JobEndReason::Malformed), it.reason());
+        }
+        CPPUNIT_ASSERT_EQUAL(0, m_events.jobs);
+    }
+
     void status_delayedInTransit_countsAsEarlierContact()
     {
         const Instant echoed = suspendAwareNow() - std::chrono::milliseconds(400);
@@ -217,6 +243,7 @@
         auto &job = *message.mutable_dispatch_job();
         job.set_ticket(7);
         job.set_id("job");
+        job.add_steps()->set_tasks(1);
         job.set_left_us(1000000);
         job.set_heard_clock_us(static_cast<std::uint64_t>((suspendAwareNow() - transit).time_since_epoch().count()));
         m_peer->send(InstanceName("a"), message);
--- a/unittests/PlatformAdapter/NodeFileTest.cpp
+++ b/unittests/PlatformAdapter/NodeFileTest.cpp
@@ -46,6 +46,7 @@
 
     void read_impossibleLimit_errorNamesIt()
     {
+        CPPUNIT_ASSERT(!isOk(read("bootstrap = 1\n" + kFile)));
         for (const char *it : { "cpu-quota = -1.0", "cpu-quota = nan", "cpu-quota = \"much\"" }) {
             QByteArray text = kFile;
             text.replace("cpu-quota = 0.25", it);
--- a/unittests/PlatformAdapter/RecordsTest.cpp
+++ b/unittests/PlatformAdapter/RecordsTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(RecordsTest);
     CPPUNIT_TEST(job_wellFormed_decoded);
     CPPUNIT_TEST(job_malformed_namedError);
+    CPPUNIT_TEST(job_hugeNumbers_saturated);
     CPPUNIT_TEST(job_withGang_refusedAsUnsupported);
     CPPUNIT_TEST(job_notBestEffort_mustBeStored);
     CPPUNIT_TEST(target_wellFormed_decoded);
@@ -69,6 +70,18 @@
         }
     }
 
+    void job_hugeNumbers_saturated()
+    {
+        // 2^32 thousandths of a core must not become none, which would fit anywhere.
+        const auto job =
+            decodeJob(R"({"spec":"x","steps":[{"count":1,"cpu":4294967296,"mem-mb":4294967297,"est-ms":1000000000000000}]})");
+        const JobStep step = std::get<SubmittedJob>(job).request.steps.at(0);
+        CPPUNIT_ASSERT_EQUAL(UINT32_MAX, step.demand.milliCores);
+        CPPUNIT_ASSERT_EQUAL(UINT32_MAX, step.demand.memoryMb);
+        CPPUNIT_ASSERT(step.estimate > std::chrono::hours(24));
+        CPPUNIT_ASSERT(step.estimate < std::chrono::hours(24 * 50));
+    }
+
     void job_withGang_refusedAsUnsupported()
     {
         const auto job = decodeJob(R"({"spec":"x","steps":[{"count":2,"gang":true}]})");
