--- a/include/eelgrasscleat/Dispatch/CommandPacer.h
+++ b/include/eelgrasscleat/Dispatch/CommandPacer.h
@@ -47,8 +47,8 @@
     void startSent();
     /// A start command was answered, was given up, or could not be sent; called once for each startSent().
     void startEnded();
-    /// A command was answered after @p responseTime. Not to be called if the command had been repeated: the response may
-    /// belong to either copy.
+    /// A command was answered after @p responseTime. Not to be called if the command had been repeated: the response
+    /// may belong to either copy.
     void answered(Duration responseTime, Instant now);
     /// A command that should have been answered was not.
     void unanswered(Instant now);
--- a/include/eelgrasscleat/Dispatch/PeerSelector.h
+++ b/include/eelgrasscleat/Dispatch/PeerSelector.h
@@ -42,7 +42,8 @@
     Duration maxRetryDelay = std::chrono::milliseconds(4000);
     /// Maximum number of unreachable candidates of the zone that are retried at the same time.
     std::size_t maxRetries = 2;
-    /// An unused session with an owner of another zone is replaced after this long, so that jobs spread over all owners.
+    /// An unused session with an owner of another zone is replaced after this long, so that jobs spread over all
+    /// owners.
     Duration redrawInterval = std::chrono::seconds(8);
     /// A peer that turns out not to own targets is replaced after this long.
     Duration ownerGrace = std::chrono::milliseconds(500);
--- a/include/eelgrasscleat/Dispatch/ZoneOwnership.h
+++ b/include/eelgrasscleat/Dispatch/ZoneOwnership.h
@@ -38,11 +38,11 @@
     Duration takeoverDelay = std::chrono::milliseconds(500);
     /// Added to takeoverDelay if ZoneView::takesOverLate is set: two takeovers.
     Duration extraTakeoverDelay = std::chrono::milliseconds(1500);
-    /// When the owners have had more targets each than planned for this long, the first instances in the order of owners
-    /// join, as many as are needed. Covers two status messages from each owner.
+    /// When the owners have had more targets each than planned for this long, the first instances in the order of
+    /// owners join, as many as are needed. Covers two status messages from each owner.
     Duration scaleOutDelay = std::chrono::milliseconds(200);
-    /// After this long the other instances join, too: the preceding ones may not see the overload. Above the time that a
-    /// preceding one needs to join, with the handover of its shards.
+    /// After this long the other instances join, too: the preceding ones may not see the overload. Above the time that
+    /// a preceding one needs to join, with the handover of its shards.
     Duration fallbackScaleOutDelay = std::chrono::milliseconds(4000);
     /// Delay of the first renewal after shards were assigned: other members that join at the same time change the
     /// assignment at once, while there is nothing to hand over yet.
@@ -128,8 +128,8 @@
     {
         return m_member;
     }
-    /// @returns whether the zone's targets should be counted now, because this instance may have to join and their number
-    /// decides how many instances do.
+    /// @returns whether the zone's targets should be counted now, because this instance may have to join and their
+    /// number decides how many instances do.
     [[nodiscard]] bool wantsTargetCount(const ZoneView &view, Instant now) const;
     /// @returns whether this instance, which owns nothing, would join if its zone needed an owner and no other
     /// candidate preceded it, or has joined and waits for its first shard: until then it is neither an owner nor gone.
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -176,8 +176,8 @@
     }
 }
 
-/// A target that is down doesn't slow down the commands to others, but if most are unreachable, this instance or its link
-/// may be the cause.
+/// A target that is down doesn't slow down the commands to others, but if most are unreachable, this instance or its
+/// link may be the cause.
 void Dispatcher::Impl::recordUnanswered(const OwnedTarget &target, Instant now)
 {
     const auto unreachable = static_cast<std::size_t>(std::count_if(
--- a/lib/Dispatch/PeerSelector.cpp
+++ b/lib/Dispatch/PeerSelector.cpp
@@ -176,8 +176,7 @@
 bool PeerSelector::precedesSelf(const InstanceName &name) const
 {
     const auto it = m_entries.find(name);
-    return it != m_entries.end()
-        && precedesAsOwner(name, it->second.candidate.capacity, m_self.name, m_self.capacity);
+    return it != m_entries.end() && precedesAsOwner(name, it->second.candidate.capacity, m_self.name, m_self.capacity);
 }
 
 std::size_t PeerSelector::zonePeers() const
@@ -341,18 +340,17 @@
 
 void PeerSelector::selectRemoteOwners(const std::set<InstanceName> &inUse, Instant now)
 {
-    const auto isUsed = [&inUse](const Draw &it) {
-        return inUse.count(it.name) > 0;
-    };
+    const auto isUsed = [&inUse](const Draw &it) { return inUse.count(it.name) > 0; };
     std::erase_if(m_draws, [&](const Draw &it) {
         const Entry &entry = m_entries.at(it.name);
-        const bool isNoOwner = isReachable(entry, now) && !isOwner(entry, now) && now - it.drawnAt > m_policy.ownerGrace;
+        const bool isNoOwner =
+            isReachable(entry, now) && !isOwner(entry, now) && now - it.drawnAt > m_policy.ownerGrace;
         m_failedDraws += isUsable(entry, now) ? 0 : 1;
         return isNoOwner || !isUsable(entry, now);
     });
     // One at a time, so that a session with a reachable owner remains.
-    const auto idle = std::find_if(
-        m_draws.begin(), m_draws.end(), [&](const Draw &it) { return now >= it.redrawAt && !isUsed(it); });
+    const auto idle =
+        std::find_if(m_draws.begin(), m_draws.end(), [&](const Draw &it) { return now >= it.redrawAt && !isUsed(it); });
     if (idle != m_draws.end()) {
         m_draws.erase(idle);
     }
--- a/lib/Dispatch/ZoneOwnership.cpp
+++ b/lib/Dispatch/ZoneOwnership.cpp
@@ -12,8 +12,8 @@
 
 /// An owner that can't reach any peer in its zone for this long is considered isolated.
 constexpr Duration kIsolationTimeout = std::chrono::milliseconds(800);
-/// An owner steps down only if the others then own at most this share of ZoneView::targetsPerOwner. The hysteresis keeps
-/// it from being needed again at once.
+/// An owner steps down only if the others then own at most this share of ZoneView::targetsPerOwner. The hysteresis
+/// keeps it from being needed again at once.
 constexpr double kScaleInFillLimit = 0.75;
 
 /// @returns the number of owners that the zone's targets need.
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -177,9 +177,8 @@
 std::size_t DispatchNode::Impl::zoneTargets() const
 {
     const auto &targets = m_targets.targets();
-    return static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [this](const auto &it) {
-        return it.second.zone == m_settings.self.zone;
-    }));
+    return static_cast<std::size_t>(std::count_if(
+        targets.begin(), targets.end(), [this](const auto &it) { return it.second.zone == m_settings.self.zone; }));
 }
 
 ShardNumber DispatchNode::Impl::shardOfTarget(const TargetName &target) const
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -14,6 +14,9 @@
 namespace Eelgrasscleat
 {
 
+/// A peer of the zone counts as unreachable if no message was received for this long.
+constexpr Duration kZonePeerTimeout = std::chrono::milliseconds(600);
+
 /// Status of this instance that is sent to peers.
 struct LocalStatus
 {
--- a/unittests/Dispatch/InstanceCapacityTest.cpp
+++ b/unittests/Dispatch/InstanceCapacityTest.cpp
@@ -105,7 +105,8 @@
                     const OwnerPlan plan = planOwners(ranked, targets);
                     const bool isAvoidable = instances * targetLimit(capacity) >= targets;
                     CPPUNIT_ASSERT_EQUAL(isAvoidable, plan.owners * targetLimit(capacity) >= targets);
-                    CPPUNIT_ASSERT_EQUAL(isAvoidable, plan.owners < instances || instances * plan.targetsPerOwner >= targets);
+                    CPPUNIT_ASSERT_EQUAL(isAvoidable,
+                                         plan.owners < instances || instances * plan.targetsPerOwner >= targets);
                 }
             }
         }
--- a/unittests/Dispatch/SelectorFleet.cpp
+++ b/unittests/Dispatch/SelectorFleet.cpp
@@ -78,8 +78,7 @@
             }
         }
         std::sort(ranked.begin(), ranked.end(), [](const Member *a, const Member *b) {
-            return precedesAsOwner(
-                a->candidate.name, a->candidate.capacity, b->candidate.name, b->candidate.capacity);
+            return precedesAsOwner(a->candidate.name, a->candidate.capacity, b->candidate.name, b->candidate.capacity);
         });
         std::vector<InstanceCapacity> capacities;
         for (const Member *it : ranked) {
--- a/unittests/PlatformAdapter/RecordsTest.cpp
+++ b/unittests/PlatformAdapter/RecordsTest.cpp
@@ -73,8 +73,8 @@
     void job_hugeNumbers_saturated()
     {
         // 2^32 thousandths of a core must not become none, which would fit anywhere.
-        const auto job =
-            decodeJob(R"({"spec":"x","steps":[{"count":1,"cpu":4294967296,"mem-mb":4294967297,"est-ms":1000000000000000}]})");
+        const auto job = decodeJob(
+            R"({"spec":"x","steps":[{"count":1,"cpu":4294967296,"mem-mb":4294967297,"est-ms":1000000000000000}]})");
         const JobStep step = std::get<SubmittedJob>(job).request.steps.at(0);
         CPPUNIT_ASSERT_EQUAL(UINT32_MAX, step.demand.milliCores);
         CPPUNIT_ASSERT_EQUAL(UINT32_MAX, step.demand.memoryMb);
