Evacuated zones: no jobs, no starts after a grace period, taken back at once

Ruled out: owners leaving the zone's group (targets uninspected, return as slow as a takeover), confirmations of instances (the platform's answer to the operator is the acknowledgement), stopping what runs (work thrown away).

--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -123,6 +123,11 @@
     /// Planned shutdown: running jobs continue, and new ones are accepted only if they can end by @p until. This uses
     /// the capacity that can't be handed over to another instance before then.
     void drain(Instant until, Instant now);
+    /// The operator has evacuated the zone: refuses all jobs that have not started. The remaining tasks of the others
+    /// are started up to @p lastStart; jobs that need more are abandoned then.
+    void evacuate(Instant lastStart, Instant now);
+    /// The operator has taken the zone back.
+    void endEvacuation();
     /// @returns whether no job is left and no run can be active.
     [[nodiscard]] bool isDrained() const;
 
--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -28,6 +28,8 @@
     std::uint32_t maxOpenJobs = 4000;
     /// Retry delay given to a refused caller while no dispatcher is known: the time of an ownership takeover.
     Duration takeoverTime = std::chrono::milliseconds(1500);
+    /// Retry delay given to a refused caller while all zones are evacuated: operators take a zone back after seconds.
+    Duration evacuationRetryDelay = std::chrono::milliseconds(2000);
 };
 
 /// Receives the decisions of a JobRouter. Implementations must not call back into the router.
@@ -63,6 +65,9 @@
     /// The instance is gone or its session has ended: the results of its jobs will never arrive.
     void dispatcherLost(const InstanceName &name);
 
+    /// Sets the zones that the operator has evacuated: their dispatchers get no jobs.
+    void setEvacuatedZones(std::set<ZoneName> zones);
+
     /// Planned shutdown: caps the deadlines of open jobs at @p latest.
     void shortenDeadlines(Instant latest);
 
@@ -71,7 +76,7 @@
 
     /// @returns the number of jobs without a result.
     [[nodiscard]] std::size_t openJobs() const;
-    /// @returns the number of dispatchers that accept jobs.
+    /// @returns the number of dispatchers that accept jobs, or would but for the evacuation of their zone.
     [[nodiscard]] std::size_t dispatcherCount() const;
     /// @returns the dispatchers with open jobs of this instance.
     [[nodiscard]] std::set<InstanceName> dispatchersInUse() const;
@@ -103,6 +108,8 @@
                                                                const std::set<InstanceName> &excluded);
     [[nodiscard]] double expectedWait(const DispatcherState &state, const JobRequest &request) const;
     bool route(std::uint64_t ticket, OpenJob &job);
+    void refuseUnroutable(std::uint64_t ticket);
+    [[nodiscard]] bool isEvacuated(const DispatcherState &state) const;
     void answer(std::uint64_t ticket, JobOutcome outcome, JobEndReason reason, Duration retryAfter);
 
     JobRouterPolicy m_policy;
@@ -112,6 +119,7 @@
     std::map<std::uint64_t, OpenJob> m_open;
     std::map<CallerId, std::uint64_t> m_byCaller;
     std::map<InstanceName, DispatcherState> m_dispatchers;
+    std::set<ZoneName> m_evacuatedZones;
 };
 
 } // namespace Eelgrasscleat
--- a/include/eelgrasscleat/Dispatch/JobTypes.h
+++ b/include/eelgrasscleat/Dispatch/JobTypes.h
@@ -101,6 +101,7 @@
     Superseded, ///< The same job was submitted again.
     TargetsLost, ///< The dispatcher lost ownership of the targets that ran the job.
     DeliveryDelayed, ///< The job reached the dispatcher so late that its home instance may have abandoned it.
+    ZoneEvacuated, ///< The operator has evacuated the zone of the targets.
 };
 
 /// @returns the name of @p reason used in logs and metrics.
--- a/include/eelgrasscleat/Dispatch/PeerSelector.h
+++ b/include/eelgrasscleat/Dispatch/PeerSelector.h
@@ -88,6 +88,12 @@
     {
         m_zoneTargets = targets;
     }
+    /// Sets the zones whose owners take no jobs. If this instance's zone is one of them, it selects as many more owners
+    /// of other zones as it has sessions with owners of its own.
+    void setEvacuatedZones(std::set<ZoneName> zones)
+    {
+        m_evacuatedZones = std::move(zones);
+    }
     /// Selects all peers anew, including unreachable ones: this instance was stalled or has lost its connections.
     void forgetFailures();
 
@@ -170,6 +176,7 @@
     std::vector<Draw> m_draws;
     std::uint32_t m_failedDraws = 0; ///< Draws that were unreachable, since one was a reachable owner.
     std::size_t m_zoneTargets = 0;
+    std::set<ZoneName> m_evacuatedZones;
     bool m_selfOwner = false;
 };
 
--- a/include/eelgrasscleat/Node/DispatchNode.h
+++ b/include/eelgrasscleat/Node/DispatchNode.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace Eelgrasscleat
 {
@@ -27,6 +28,11 @@
     std::uint32_t shards = 16;
     /// How long a target is kept after its record was removed from the store.
     Duration targetRemovalGrace = std::chrono::milliseconds(2500);
+    /// The deployment's availability zones; empty if unknown.
+    std::set<ZoneName> zones;
+    /// How long after it learns that the operator has evacuated its zone the instance starts the remaining tasks of
+    /// jobs that have begun. With the time in which it learns of it, well below the platform's limit of 5 s.
+    Duration evacuationGrace = std::chrono::milliseconds(700);
     /// Graceful shutdown: time for the load balancer to take the instance out of rotation.
     Duration balancerRemovalTime = std::chrono::milliseconds(3200);
     /// Graceful shutdown: this instance keeps starting short jobs on its targets for this long, because other instances
--- a/include/eelgrasscleat/Node/Ports.h
+++ b/include/eelgrasscleat/Node/Ports.h
@@ -3,6 +3,7 @@
 /// them for one platform; tests use fakes.
 #pragma once
 
+#include <eelgrasscleat/Dispatch/EvacuationView.h>
 #include <eelgrasscleat/Dispatch/FleetView.h>
 #include <eelgrasscleat/Dispatch/ZoneOwnership.h>
 #include <eelgrasscleat/Support/Error.h>
@@ -109,6 +110,10 @@
 public:
     virtual ~StoreEventHandler() = default;
     virtual void configurationReceived(FleetConfiguration configuration) = 0;
+    /// All evacuated zones were read.
+    virtual void evacuationsListed(EvacuatedZones zones) = 0;
+    /// The operator has evacuated a zone or taken it back. @param version see EvacuatedZones::version
+    virtual void evacuationChanged(const ZoneName &zone, bool evacuated, std::uint64_t version) = 0;
     virtual void targetUpdated(const DispatchTarget &target) = 0;
     virtual void targetRemoved(const TargetName &target) = 0;
     /// The complete list of targets was read.
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -113,6 +113,10 @@
         terminateJob(*earlier, JobOutcome::Abandoned, JobEndReason::Superseded, now);
     }
     const JobId id = request.id;
+    if (m_evacuatedFrom) {
+        refuse(origin, id, JobEndReason::ZoneEvacuated, kMaxRetryDelay);
+        return;
+    }
     m_jobTable.recordArrival(request, now);
     for (const JobStep &it : request.steps) {
         if (!m_selector.hasSuitableTarget(request.service, it)) {
@@ -188,6 +192,39 @@
     }
 }
 
+void Dispatcher::Impl::evacuate(Instant lastStart, Instant now)
+{
+    m_evacuatedFrom = lastStart;
+    endEvacuatedJobs(now);
+}
+
+void Dispatcher::Impl::endEvacuation()
+{
+    m_evacuatedFrom.reset();
+}
+
+/// Ends the jobs that have not started, so that their homes route them to other zones, and after the last start also
+/// those with tasks left to start.
+void Dispatcher::Impl::endEvacuatedJobs(Instant now)
+{
+    std::vector<ActiveJob *> jobs;
+    for (const auto &it : m_jobTable.jobs()) {
+        const bool needsStart = it.second->remainingTasks > 0 && it.second->readyTasks > 0;
+        if (it.second->possibleRuns == 0 || (needsStart && !mayStart(now))) {
+            jobs.push_back(it.second.get());
+        }
+    }
+    for (ActiveJob *it : jobs) {
+        terminateJob(*it, JobOutcome::Refused, JobEndReason::ZoneEvacuated, now);
+    }
+}
+
+/// @returns whether an evacuation allows a start; other conditions are checked elsewhere.
+bool Dispatcher::Impl::mayStart(Instant now) const
+{
+    return !m_evacuatedFrom || now <= *m_evacuatedFrom;
+}
+
 void Dispatcher::Impl::terminateJob(ActiveJob &job, JobOutcome outcome, JobEndReason reason, Instant now)
 {
     if (outcome == JobOutcome::Refused && job.possibleRuns > 0) {
@@ -230,7 +267,7 @@
 void Dispatcher::Impl::placeWaiting(Instant now)
 {
     std::uint32_t skipped = 0;
-    if (!m_pacer.mayStart()) {
+    if (!m_pacer.mayStart() || !mayStart(now)) {
         return;
     }
     for (ActiveJob *job : m_jobTable.readyJobs(now)) {
@@ -306,6 +343,9 @@
     if (m_draining) {
         refuseUndrainable(now);
     }
+    if (m_evacuatedFrom) {
+        endEvacuatedJobs(now);
+    }
     for (const auto &it : m_targets) {
         advanceTarget(*it.second, now);
     }
@@ -320,6 +360,9 @@
     DispatcherLoad load;
     load.draining = m_draining;
     load.drainLeft = m_draining ? std::max(Duration::zero(), m_drainUntil - now) : Duration::zero();
+    if (m_evacuatedFrom) {
+        return load;
+    }
     for (const auto &it : m_targets) {
         if (!m_selector.isUsable(*it.second, now)) {
             continue;
@@ -407,6 +450,17 @@
     m_impl->drain(until, now);
 }
 
+void Dispatcher::evacuate(Instant lastStart, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->evacuate(lastStart, now);
+}
+
+void Dispatcher::endEvacuation()
+{
+    m_impl->endEvacuation();
+}
+
 bool Dispatcher::isDrained() const
 {
     return m_impl->m_jobTable.jobs().empty()
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -7,6 +7,7 @@
 #include "TargetSelector.h"
 
 #include <deque>
+#include <optional>
 
 namespace Eelgrasscleat
 {
@@ -32,6 +33,8 @@
     void homeContacted(const InstanceName &home, Instant when);
     void homeLost(const InstanceName &home, Instant now);
     void drain(Instant until, Instant now);
+    void evacuate(Instant lastStart, Instant now);
+    void endEvacuation();
     void advance(Instant now);
 
     // Targets and runs.
@@ -53,6 +56,7 @@
     Instant m_lastNow {};
     bool m_draining = false;
     Instant m_drainUntil {};
+    std::optional<Instant> m_evacuatedFrom; ///< While the zone is evacuated: no task is started after this time.
 
 private:
     /// Run numbers of a recently submitted job, and its runs that were still active when it ended.
@@ -76,6 +80,8 @@
     bool placeTasks(ActiveJob &job, Instant now);
     void expireJobs(Instant now);
     void refuseUndrainable(Instant now);
+    void endEvacuatedJobs(Instant now);
+    [[nodiscard]] bool mayStart(Instant now) const;
     [[nodiscard]] Instant lastContact(const InstanceName &home) const;
 
     // Runs.
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -96,7 +96,7 @@
     if (job == nullptr || run.startsSent > 1 || now - run.dispatchedAt < m_pacer.retryDelay()) {
         return;
     }
-    if (now - lastContact(run.home) > m_policy.homeStartTimeout) {
+    if (now - lastContact(run.home) > m_policy.homeStartTimeout || !mayStart(now)) {
         return;
     }
     m_observer.runDecided("start_repeated", name, target.tracker.target().name, 0);
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -64,10 +64,32 @@
         return;
     }
     if (!route(ticket, job)) {
+        refuseUnroutable(ticket);
+    }
+}
+
+/// Refuses a job that no dispatcher can take.
+void JobRouter::refuseUnroutable(std::uint64_t ticket)
+{
+    const bool evacuated = std::any_of(
+        m_dispatchers.begin(), m_dispatchers.end(), [this](const auto &it) { return isEvacuated(it.second); });
+    if (evacuated) {
+        answer(ticket, JobOutcome::Refused, JobEndReason::ZoneEvacuated, m_policy.evacuationRetryDelay);
+    } else {
         answer(ticket, JobOutcome::Refused, JobEndReason::NoDispatcher, m_policy.takeoverTime);
     }
 }
 
+bool JobRouter::isEvacuated(const DispatcherState &state) const
+{
+    return state.ownsTargets && m_evacuatedZones.count(state.zone) > 0;
+}
+
+void JobRouter::setEvacuatedZones(std::set<ZoneName> zones)
+{
+    m_evacuatedZones = std::move(zones);
+}
+
 /// Routes a job to the best dispatcher that has not refused it. @returns whether there was one.
 bool JobRouter::route(std::uint64_t ticket, OpenJob &job)
 {
@@ -85,7 +107,8 @@
 double JobRouter::expectedWait(const DispatcherState &state, const JobRequest &request) const
 {
     const DispatcherLoad &load = state.load;
-    if (!state.ownsTargets || load.targets == 0 || largestTaskDemand(request) > load.largestMilliCores) {
+    if (!state.ownsTargets || isEvacuated(state) || load.targets == 0
+        || largestTaskDemand(request) > load.largestMilliCores) {
         return std::numeric_limits<double>::infinity();
     }
     const Duration estimate = sequentialEstimate(request);
@@ -154,7 +177,9 @@
     OpenJob &job = it->second;
     if (end.outcome == JobOutcome::Refused) {
         job.refusedBy.insert(dispatcher);
-        const bool canTryOthers = job.refusedBy.size() < m_policy.maxDispatchersTried && now < job.request.deadline;
+        const bool mayTryOthers =
+            end.reason == JobEndReason::ZoneEvacuated || job.refusedBy.size() < m_policy.maxDispatchersTried;
+        const bool canTryOthers = mayTryOthers && now < job.request.deadline;
         if (canTryOthers && route(end.ticket, job)) {
             return;
         }
@@ -236,8 +261,9 @@
 
 std::size_t JobRouter::dispatcherCount() const
 {
-    return static_cast<std::size_t>(std::count_if(m_dispatchers.begin(), m_dispatchers.end(), [](const auto &it) {
-        return it.second.ownsTargets && !it.second.load.draining && it.second.load.targets > 0;
+    return static_cast<std::size_t>(std::count_if(m_dispatchers.begin(), m_dispatchers.end(), [this](const auto &it) {
+        const bool accepts = it.second.ownsTargets && !it.second.load.draining && it.second.load.targets > 0;
+        return accepts || isEvacuated(it.second);
     }));
 }
 
--- a/lib/Dispatch/JobTypes.cpp
+++ b/lib/Dispatch/JobTypes.cpp
@@ -16,7 +16,7 @@
     "complete", "failed", "refused", "abandoned", "expired", "canceled",
 };
 
-constexpr std::array<std::string_view, 17> kJobEndReasonNames = {
+constexpr std::array<std::string_view, 18> kJobEndReasonNames = {
     "none",
     "no_configuration",
     "unknown_route",
@@ -34,6 +34,7 @@
     "superseded",
     "targets_lost",
     "held_up",
+    "zone_evacuated",
 };
 
 constexpr std::array<std::string_view, 5> kRunEndKindNames = { "done", "failed", "stopped", "lapsed", "other" };
--- a/lib/Dispatch/PeerSelector.cpp
+++ b/lib/Dispatch/PeerSelector.cpp
@@ -303,7 +303,7 @@
     std::vector<InstanceName> pool;
     std::vector<ZoneName> zones;
     for (const auto &zone : ranking()) {
-        if (zone.first == m_self.zone || zone.second.empty()) {
+        if (zone.first == m_self.zone || zone.second.empty() || m_evacuatedZones.count(zone.first) > 0) {
             continue;
         }
         zones.push_back(zone.first);
@@ -345,8 +345,9 @@
         const Entry &entry = m_entries.at(it.name);
         const bool isNoOwner =
             isReachable(entry, now) && !isOwner(entry, now) && now - it.drawnAt > m_policy.ownerGrace;
+        const bool isEvacuated = m_evacuatedZones.count(entry.candidate.zone) > 0;
         m_failedDraws += isUsable(entry, now) ? 0 : 1;
-        return isNoOwner || !isUsable(entry, now);
+        return isNoOwner || isEvacuated || !isUsable(entry, now);
     });
     // One at a time, so that a session with a reachable owner remains.
     const auto idle =
@@ -362,7 +363,9 @@
     if (hasOwner) {
         m_failedDraws = 0;
     }
-    const std::size_t wanted = hasOwner ? m_policy.remoteOwners : m_policy.remoteAttempts;
+    const bool isZoneEvacuated = m_evacuatedZones.count(m_self.zone) > 0;
+    const std::size_t owners = m_policy.remoteOwners + (isZoneEvacuated ? m_policy.zoneOwners : 0);
+    const std::size_t wanted = hasOwner ? owners : std::max(owners, m_policy.remoteAttempts);
     while (m_draws.size() > wanted && !isUsed(m_draws.back())) {
         m_draws.pop_back();
     }
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -33,6 +33,7 @@
     , m_dispatcher(settings.dispatcher, commands, *this)
     , m_router(settings.router, settings.self.zone, *this)
     , m_ownership(settings.ownership)
+    , m_evacuations(settings.self.zone, settings.evacuationGrace)
     , m_targets(settings.targetRemovalGrace)
     , m_peerLink(settings.self, IncarnationId(random), *this, settings.isBootstrap)
 {
@@ -108,6 +109,7 @@
     status.candidate = m_configuration.isKnown() && m_ownership.isCandidate(m_now);
     status.load = m_dispatcher.load();
     status.configVersion = m_configuration.current().version;
+    status.evacuated = m_evacuations.current();
     if (status.owner) {
         m_router.dispatcherReported(m_settings.self.name, m_settings.self.zone, status.load, m_now);
     } else {
@@ -256,6 +258,61 @@
     m_log.recordEvent("configuration applied", { { "version", version }, { "routes", routes }, { "source", source } });
 }
 
+void DispatchNode::Impl::evacuationsListed(EvacuatedZones zones)
+{
+    beginEvent();
+    const std::set<ZoneName> before = m_evacuations.current().zones;
+    if (m_evacuations.replace(std::move(zones), m_now)) {
+        applyEvacuations(before, "store");
+    }
+}
+
+void DispatchNode::Impl::evacuationChanged(const ZoneName &zone, bool evacuated, std::uint64_t version)
+{
+    beginEvent();
+    const std::set<ZoneName> before = m_evacuations.current().zones;
+    if (m_evacuations.change(zone, evacuated, version, m_now)) {
+        applyEvacuations(before, "store");
+    }
+}
+
+void DispatchNode::Impl::peerEvacuationsReceived(const InstanceName &peer, EvacuatedZones zones)
+{
+    const std::set<ZoneName> before = m_evacuations.current().zones;
+    if (m_evacuations.replace(std::move(zones), m_now)) {
+        applyEvacuations(before, peer.value);
+    }
+}
+
+/// Jobs stop going to evacuated zones at once. What runs in this instance's zone ends there.
+void DispatchNode::Impl::applyEvacuations(const std::set<ZoneName> &before, const std::string &source)
+{
+    const EvacuatedZones &evacuated = m_evacuations.current();
+    const auto logChange = [&](std::string_view event, const ZoneName &zone) {
+        const bool isKnown = m_settings.zones.empty() || m_settings.zones.count(zone) > 0;
+        m_log.recordEvent(isKnown ? event : "evacuation of unknown zone ignored",
+                          { { "zone", zone.value }, { "version", evacuated.version }, { "source", source } });
+    };
+    for (const ZoneName &it : evacuated.zones) {
+        if (before.count(it) == 0) {
+            logChange("zone evacuated", it);
+        }
+    }
+    for (const ZoneName &it : before) {
+        if (evacuated.zones.count(it) == 0) {
+            logChange("zone taken back", it);
+        }
+    }
+    m_router.setEvacuatedZones(evacuated.zones);
+    const bool wasEvacuated = before.count(m_settings.self.zone) > 0;
+    if (m_evacuations.isOwnZoneEvacuated()) {
+        m_dispatcher.evacuate(m_evacuations.lastStartAt(), m_now);
+    } else if (wasEvacuated) {
+        m_dispatcher.endEvacuation();
+    }
+    runDeferredCalls();
+}
+
 const FleetConfiguration &DispatchNode::Impl::configuration()
 {
     return m_configuration.current();
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -37,6 +37,8 @@
 
     // StoreEventHandler.
     void configurationReceived(FleetConfiguration configuration) override;
+    void evacuationsListed(EvacuatedZones zones) override;
+    void evacuationChanged(const ZoneName &zone, bool evacuated, std::uint64_t version) override;
     void targetUpdated(const DispatchTarget &target) override;
     void targetRemoved(const TargetName &target) override;
     void targetListReceived(const std::vector<DispatchTarget> &targets) override;
@@ -60,6 +62,7 @@
     void
     peerStatusReceived(const InstanceName &peer, const ZoneName &zone, bool owner, const DispatcherLoad &load) override;
     void sessionEnded(const InstanceName &peer, const std::string &why) override;
+    void peerEvacuationsReceived(const InstanceName &peer, EvacuatedZones zones) override;
     void peerSubmittedJob(const InstanceName &peer, std::uint64_t ticket, JobRequest request) override;
     void peerCanceledJob(const InstanceName &peer, std::uint64_t ticket) override;
     void peerReportedJobEnd(const InstanceName &peer, const JobEnd &end) override;
@@ -95,6 +98,7 @@
     void submitJob(CallerRequest &request, const FleetRoute *route);
     void refuse(const CallerRequest &request, const JobId &id, JobEndReason reason);
     void applyConfiguration(FleetConfiguration configuration, const std::string &source);
+    void applyEvacuations(const std::set<ZoneName> &before, const std::string &source);
     void advanceOwnership();
     void applyOwnership();
     void assignTargetIfOwned(const DispatchTarget &target);
@@ -110,6 +114,7 @@
     JobRouter m_router;
     ZoneOwnership m_ownership;
     ConfigurationView m_configuration;
+    EvacuationView m_evacuations;
     TargetList m_targets;
     PeerLink m_peerLink;
     QTimer m_advanceTimer;
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -114,6 +114,10 @@
     status.set_heard_clock_us(peer.remoteClockUs);
     status.set_heard_age_us(static_cast<std::uint64_t>((now - std::max(peer.lastReceivedAt, peer.openedAt)).count()));
     status.set_config_version(m_status.configVersion.value);
+    status.set_evacuation_version(m_status.evacuated.version);
+    for (const ZoneName &it : m_status.evacuated.zones) {
+        status.add_evacuated_zones(it.value);
+    }
     peer.lastSentAt = now;
     peer.isStatusDue = false;
     m_network.send(name, std::move(message));
@@ -122,7 +126,8 @@
 void PeerLink::advance(const LocalStatus &status, const std::set<InstanceName> &inUse, Instant now)
 {
     const bool changed = status.owner != m_status.owner || status.candidate != m_status.candidate
-        || status.configVersion != m_status.configVersion || status.load.draining != m_status.load.draining;
+        || status.configVersion != m_status.configVersion || status.load.draining != m_status.load.draining
+        || status.evacuated.zones != m_status.evacuated.zones;
     m_status = status;
     for (const InstanceName &it : std::exchange(m_peersWithDroppedMessages, {})) {
         const auto peer = m_peers.find(it);
@@ -236,6 +241,14 @@
         request.mutable_fleet_config_request();
         m_network.send(name, std::move(request));
     }
+    if (message.evacuation_version() > m_status.evacuated.version) {
+        EvacuatedZones zones;
+        zones.version = message.evacuation_version();
+        for (const auto &it : message.evacuated_zones()) {
+            zones.zones.emplace(it);
+        }
+        m_events.peerEvacuationsReceived(name, std::move(zones));
+    }
     reportOwner(name, peer, readLoad(message));
 }
 
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -24,6 +24,7 @@
     bool candidate = false; ///< Takes over if its zone has no owner.
     DispatcherLoad load;
     ConfigVersion configVersion;
+    EvacuatedZones evacuated;
     std::size_t zoneTargets = 0; ///< Listed targets in this instance's zone; 0 if it doesn't follow the list.
 };
 
@@ -41,6 +42,8 @@
     virtual void
     peerStatusReceived(const InstanceName &peer, const ZoneName &zone, bool owner, const DispatcherLoad &load) = 0;
     virtual void sessionEnded(const InstanceName &peer, const std::string &why) = 0;
+    /// Called before peerStatusReceived() if the peer knows of evacuations as of a later version than this instance.
+    virtual void peerEvacuationsReceived(const InstanceName &peer, EvacuatedZones zones) = 0;
     virtual void peerSubmittedJob(const InstanceName &peer, std::uint64_t ticket, JobRequest request) = 0;
     virtual void peerCanceledJob(const InstanceName &peer, std::uint64_t ticket) = 0;
     virtual void peerReportedJobEnd(const InstanceName &peer, const JobEnd &end) = 0;
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -110,7 +110,7 @@
 std::optional<JobEnd> readEnd(const schema::DispatchEnd &message)
 {
     if (message.outcome() > static_cast<std::uint32_t>(JobOutcome::Canceled)
-        || message.reason() > static_cast<std::uint32_t>(JobEndReason::DeliveryDelayed)) {
+        || message.reason() > static_cast<std::uint32_t>(JobEndReason::ZoneEvacuated)) {
         return std::nullopt;
     }
     JobEnd end;
--- a/lib/Node/PeerSessions.cpp
+++ b/lib/Node/PeerSessions.cpp
@@ -87,6 +87,7 @@
     m_nextSelectionAt = now + kSelectionInterval;
     m_selector.setSelfOwner(m_status.owner);
     m_selector.setZoneTargets(zoneTargets());
+    m_selector.setEvacuatedZones(m_status.evacuated.zones);
     bool changed = false;
     for (const InstanceName &it : m_selector.select(inUse, now)) {
         Peer &peer = m_peers[it];
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -5,6 +5,8 @@
 
 # A target that is draining gets nothing new after this, when nothing was amiss meanwhile.
 DRAIN_S = 2.0
+# In an evacuated zone nothing is started later than this, when nothing was amiss meanwhile.
+EVACUATE_S = 5.0
 # How long after a disturbance the promises with a time bound hold again.
 CONTACT_S = 3.0
 # An answer may be this much later than its deadline: the caller's own delays on a busy machine.
@@ -37,6 +39,7 @@
         self.began = time.monotonic()
         self.answers = {}
         self.starts = 0
+        self.evacuated = {}  # Zone: since when.
 
     def disturbed(self, for_s=0.0):
         """Something is amiss from now on for that long."""
@@ -63,6 +66,9 @@
         since = target.draining_since
         if since is not None and time.monotonic() - since > DRAIN_S and self.is_calm(DRAIN_S + CONTACT_S):
             self.breach("a leaving target gets nothing new", f"{task} on {target.name}")
+        since = self.evacuated.get(target.zone)
+        if since is not None and time.monotonic() - since > EVACUATE_S and self.is_calm(EVACUATE_S):
+            self.breach("an evacuated zone gets nothing", f"{task} on {target.name}")
         job.begun.add(task)
         self.at_work.setdefault(task, set()).add(target)
         return job
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -117,6 +117,16 @@
         await asyncio.sleep(0.3)
 
 
+async def evacuate(world, fault):
+    """One zone, or all; the next series may do it again before this one has ended."""
+    zones = world.zones if fault.share > 0.5 else [world.zones[fault.who % len(world.zones)]]
+    for it in zones:
+        world.evacuate(it)
+    await asyncio.sleep(fault.for_s + 4.0)
+    for it in zones:
+        world.take_back(it)
+
+
 def link_fault(kinds, **faults):
     async def strike(world, fault):
         links = some_links(world, fault, kinds)
@@ -199,7 +209,7 @@
     "freeze": freeze, "kill": kill, "kill_all": kill_all, "roll": roll, "reload": reload,
     "store_silent": store_fault("silent"), "store_refuses": store_fault("refuse"), "store_slow": store_fault("slow"),
     "store_loses_answers": store_fault("lost"), "store_writes_late": store_fault("late"),
-    "group_dealt_anew": revoke, "history_forgotten": forget, "configure": configure,
+    "group_dealt_anew": revoke, "history_forgotten": forget, "configure": configure, "evacuate": evacuate,
     "cut_store": link_fault(("store",), cut=True), "cut_peers": link_fault(("peer",), cut=True),
     "cut_targets": link_fault(("target",), cut=True), "cut_all": link_fault(("store", "peer", "target"), cut=True),
     "cut_callers": link_fault(("caller",), cut=True),
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -197,6 +197,16 @@
             limits={"max-header-bytes": 16384, "max-body-bytes": 262144, "idle-timeout-ms": 15000}))
         self.versions.append((self.version, time.monotonic()))
 
+    zones = ZONES
+
+    def evacuate(self, zone):
+        self.checks.evacuated.setdefault(zone, time.monotonic())
+        self.store.write(OPERATOR_TOPIC, f"evacuate/{zone}", entry())
+
+    def take_back(self, zone):
+        self.checks.evacuated.pop(zone, None)
+        self.store.write(OPERATOR_TOPIC, f"evacuate/{zone}", None)
+
     async def _keep_running(self):
         """Starts processes again that have ended, 0.3 s later."""
         while self.running:
--- a/unittests/Dispatch/FakeFleet.h
+++ b/unittests/Dispatch/FakeFleet.h
@@ -69,6 +69,11 @@
     CommandResult inspect(const InspectCommand &command, TargetReport &report, Instant now);
     /// Ends runs that are done or whose lease has expired.
     void advance(Instant now);
+    /// Changes the time that tasks started from now on take.
+    void slowDown(double factor)
+    {
+        m_slowness *= factor;
+    }
     /// Starts a new incarnation without any state of the previous one.
     void restart(Instant now);
 
--- a/unittests/Dispatch/JobRouterTest.cpp
+++ b/unittests/Dispatch/JobRouterTest.cpp
@@ -26,6 +26,9 @@
     CPPUNIT_TEST(jobEnd_fromOtherDispatcher_ignored);
     CPPUNIT_TEST(deadline_passed_answeredExpired);
     CPPUNIT_TEST(caller_gone_jobWithdrawnWithoutAnswer);
+    CPPUNIT_TEST(evacuation_ownZone_otherZoneChosen);
+    CPPUNIT_TEST(evacuation_allZones_refusedWithReason);
+    CPPUNIT_TEST(evacuation_refusedByOwner_routedAgainWithoutLimit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +158,45 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_router.openJobs());
     }
 
+    void evacuation_ownZone_otherZoneChosen()
+    {
+        report("near", "zone", 400000);
+        report("far", "other", 0);
+        m_router.setEvacuatedZones({ ZoneName("zone") });
+        submit(1);
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), m_routed.back().first.value);
+        m_router.setEvacuatedZones({});
+        submit(2);
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), m_routed.back().first.value);
+    }
+
+    void evacuation_allZones_refusedWithReason()
+    {
+        report("near", "zone", 400000);
+        m_router.setEvacuatedZones({ ZoneName("zone") });
+        submit(1);
+        CPPUNIT_ASSERT(m_answers.at(1).outcome == JobOutcome::Refused);
+        CPPUNIT_ASSERT(m_answers.at(1).reason == JobEndReason::ZoneEvacuated);
+        CPPUNIT_ASSERT(m_answers.at(1).retryAfter >= std::chrono::seconds(1));
+        // The instance can still refuse truthfully, so the balancer may send it connections.
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_router.dispatcherCount());
+    }
+
+    void evacuation_refusedByOwner_routedAgainWithoutLimit()
+    {
+        // Owners learn of an evacuation before this instance does.
+        for (const char *it : { "a", "b", "c", "d" }) {
+            report(it, "zone", 400000);
+        }
+        report("far", "other", 400000);
+        submit(1);
+        for (int i = 0; i < 4; ++i) {
+            refuse(m_routed.back().first.value, JobEndReason::ZoneEvacuated);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), m_routed.back().first.value);
+        CPPUNIT_ASSERT(m_answers.empty());
+    }
+
 private:
     void jobRouted(const InstanceName &dispatcher, std::uint64_t ticket, const JobRequest &) override
     {
@@ -195,9 +237,9 @@
         m_router.submit(CallerId(caller), request);
     }
 
-    void refuse(const std::string &dispatcher)
+    void refuse(const std::string &dispatcher, JobEndReason reason = JobEndReason::TooLate)
     {
-        JobEnd end { JobId("job1"), m_routed.back().second, JobOutcome::Refused, JobEndReason::TooLate, {} };
+        JobEnd end { JobId("job1"), m_routed.back().second, JobOutcome::Refused, reason, {} };
         m_router.jobEnded(InstanceName(dispatcher), end, m_now);
     }
 
--- a/unittests/Dispatch/PeerSelectorTest.cpp
+++ b/unittests/Dispatch/PeerSelectorTest.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(selection_stalledInstance_triesAllAgain);
     CPPUNIT_TEST(selection_ownersNotListed_fewerOwnersKnown);
     CPPUNIT_TEST(ownersListed_ownStatusDenies_ignored);
+    CPPUNIT_TEST(evacuation_ownZone_moreOwnersElsewhere);
+    CPPUNIT_TEST(evacuation_otherZone_itsOwnersNotDrawn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -236,6 +238,38 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, selector.knownZoneOwners(m_now));
     }
 
+    void evacuation_ownZone_moreOwnersElsewhere()
+    {
+        const PeerSelectionPolicy policy;
+        PeerSelector selector = selectorWithRemoteOwners();
+        selector.select({}, m_now);
+        CPPUNIT_ASSERT_EQUAL(policy.remoteOwners, selector.select({}, m_now).size());
+        selector.setEvacuatedZones({ ZoneName("zone") });
+        reportRemoteOwners(selector);
+        CPPUNIT_ASSERT_EQUAL(policy.remoteOwners + policy.zoneOwners, selector.select({}, m_now).size());
+        selector.setEvacuatedZones({});
+        reportRemoteOwners(selector);
+        CPPUNIT_ASSERT_EQUAL(policy.remoteOwners, selector.select({}, m_now).size());
+    }
+
+    void evacuation_otherZone_itsOwnersNotDrawn()
+    {
+        PeerSelector selector = selectorWithRemoteOwners();
+        selector.select({}, m_now);
+        selector.add({ InstanceName("third"), ZoneName("third zone"), {} });
+        selector.setEvacuatedZones({ ZoneName("elsewhere") });
+        for (int i = 0; i < 5; ++i) {
+            reportRemoteOwners(selector);
+            selector.contacted(InstanceName("third"), m_now);
+            selector.ownerReported(InstanceName("third"), true, m_now);
+            selector.select({}, m_now);
+        }
+        CPPUNIT_ASSERT(selector.isJobPeer(InstanceName("third")));
+        CPPUNIT_ASSERT(!selector.isJobPeer(InstanceName("remote-1")));
+        const auto &selected = selector.select({}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, selected.size());
+    }
+
 private:
     /// Four candidates, three owners of the zone and two elsewhere, and as many peers that draw this one.
     static constexpr std::size_t kMaxHomeSessions = 16;
--- a/unittests/Node/DispatchNodeTest.cpp
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -120,6 +120,8 @@
     CPPUNIT_TEST(job_beforeConfiguration_refused);
     CPPUNIT_TEST(job_unknownRoute_refusedWithReason);
     CPPUNIT_TEST(request_beforeConfiguration_refusedWithNoConfiguration);
+    CPPUNIT_TEST(evacuation_ownZone_jobsRefusedAndStartsEnd);
+    CPPUNIT_TEST(evacuation_takenBack_jobsServedAgain);
     CPPUNIT_TEST(stop_jobOpen_callerAnsweredBeforeExit);
     CPPUNIT_TEST(stop_jobReceivedDuringShutdown_answeredBeforeExit);
     CPPUNIT_TEST_SUITE_END();
@@ -188,6 +190,37 @@
         }
     }
 
+    void evacuation_ownZone_jobsRefusedAndStartsEnd()
+    {
+        waitUntilReady();
+        submit(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_targets.started.size());
+        m_node->storeEvents().evacuationChanged(ZoneName("zone"), true, 3);
+        submit(2);
+        CPPUNIT_ASSERT(m_callers.ends.at(2).outcome == JobOutcome::Refused);
+        CPPUNIT_ASSERT(m_callers.ends.at(2).reason == JobEndReason::ZoneEvacuated);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_targets.started.size());
+        TargetReport report;
+        report.ended.push_back({ 1, m_targets.started[0], RunEndKind::Done });
+        m_targets.report(report);
+        CPPUNIT_ASSERT_MESSAGE("a job that runs ends well", m_callers.ends.at(1).outcome == JobOutcome::Complete);
+    }
+
+    void evacuation_takenBack_jobsServedAgain()
+    {
+        waitUntilReady();
+        m_node->storeEvents().evacuationsListed({ 3, { ZoneName("zone") } });
+        submit(1);
+        CPPUNIT_ASSERT(m_targets.started.empty());
+        m_node->storeEvents().evacuationChanged(ZoneName("zone"), false, 4);
+        // A list that was read before the zone was taken back.
+        m_node->storeEvents().evacuationsListed({ 3, { ZoneName("zone") } });
+        EventLoop::waitFor([this, caller = std::uint64_t { 2 }]() mutable {
+            submit(caller++);
+            return !m_targets.started.empty();
+        });
+    }
+
     void stop_jobOpen_callerAnsweredBeforeExit()
     {
         waitUntilReady();
--- a/unittests/Node/PeerLinkTest.cpp
+++ b/unittests/Node/PeerLinkTest.cpp
@@ -35,6 +35,10 @@
     {
         brokenConnections += why == "connection lost" ? 1 : 0;
     }
+    void peerEvacuationsReceived(const InstanceName &, EvacuatedZones zones) override
+    {
+        evacuated = std::move(zones);
+    }
     void peerSubmittedJob(const InstanceName &, std::uint64_t, JobRequest) override
     {
         ++jobs;
@@ -54,6 +58,7 @@
     }
 
     std::vector<Instant> contacts;
+    EvacuatedZones evacuated;
     int jobs = 0;
     int statuses = 0;
     int brokenConnections = 0;
@@ -69,6 +74,9 @@
     void peerMessageArrived(schema::PeerMessage message) override
     {
         ++messages;
+        if (message.has_dispatch_status()) {
+            lastStatus = message.dispatch_status();
+        }
         if (message.has_dispatch_end()) {
             ends.push_back(message.dispatch_end());
         }
@@ -85,6 +93,7 @@
     }
 
     std::vector<schema::DispatchEnd> ends;
+    schema::DispatchStatus lastStatus;
     int messages = 0;
     bool isUp = false;
 };
@@ -101,6 +110,8 @@
     CPPUNIT_TEST(status_shortTransit_countsAsContactNow);
     CPPUNIT_TEST(session_peerWantsNone_closed);
     CPPUNIT_TEST(session_unknownPeerWantsOne_opened);
+    CPPUNIT_TEST(evacuation_knownHere_toldToPeers);
+    CPPUNIT_TEST(evacuation_knownToPeer_reported);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,7 +129,7 @@
         CPPUNIT_ASSERT(isOk(m_peerLink->start()));
         m_peerLink->addInstance({ InstanceName("b"), ZoneName("zone"), "127.0.0.1", m_peerPort });
         QObject::connect(&m_advanceTimer, &QTimer::timeout, &m_advanceTimer, [this] {
-            m_peerLink->advance({}, {}, suspendAwareNow());
+            m_peerLink->advance(m_status, {}, suspendAwareNow());
         });
         m_advanceTimer.start(std::chrono::milliseconds(20));
         m_peer->setPeers({ PeerEndpoint { InstanceName("a"), "127.0.0.1", kLinkPort } });
@@ -131,6 +142,7 @@
         m_advanceTimer.disconnect();
         m_peerLink.reset();
         m_peer.reset();
+        m_status = {};
         m_handler = {};
         m_events = {};
     }
@@ -222,6 +234,27 @@
         sendStatusUntil(std::chrono::milliseconds(50), [this] { return m_peerLink->sessions() == 1; });
     }
 
+    void evacuation_knownHere_toldToPeers()
+    {
+        m_status.evacuated = { 7, { ZoneName("elsewhere") } };
+        sendStatusUntil(std::chrono::milliseconds(50),
+                        [this] { return m_handler.lastStatus.evacuation_version() == 7; });
+        CPPUNIT_ASSERT_EQUAL(1, m_handler.lastStatus.evacuated_zones_size());
+        CPPUNIT_ASSERT_EQUAL(std::string("elsewhere"), m_handler.lastStatus.evacuated_zones(0));
+    }
+
+    void evacuation_knownToPeer_reported()
+    {
+        schema::PeerMessage message;
+        auto &status = *message.mutable_dispatch_status();
+        status.set_session(1);
+        status.set_evacuation_version(9);
+        status.add_evacuated_zones("zone");
+        m_peer->send(InstanceName("a"), message);
+        EventLoop::waitFor([this] { return m_events.evacuated.version == 9; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_events.evacuated.zones.count(ZoneName("zone")));
+    }
+
 private:
     void sendEchoingStatus(Instant echoed)
     {
@@ -272,6 +305,7 @@
     RecordingPeer m_handler;
     CountingPeerEvents m_events;
     QTimer m_advanceTimer;
+    LocalStatus m_status;
     std::uint16_t m_peerPort = 0;
     bool m_wantsSession = false;
     std::unique_ptr<PeerNetwork> m_peer;
--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -17,6 +17,9 @@
     CPPUNIT_TEST(write_afterStart_read);
     CPPUNIT_TEST(forget_whileAway_listedAgain);
     CPPUNIT_TEST(store_refusesThenServes_lostThenRegained);
+    CPPUNIT_TEST(evacuation_beforeStart_listed);
+    CPPUNIT_TEST(evacuation_writtenAndDropped_reportedInOrder);
+    CPPUNIT_TEST(evacuation_droppedWhileAway_listedAgain);
     CPPUNIT_TEST(target_damagedEntry_rejectedOthersRead);
     CPPUNIT_TEST(membership_partitionsListed_areShards);
     CPPUNIT_TEST(membership_storeSilent_errorInTime);
@@ -79,6 +82,40 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("one event for each change", 1, m_lost);
     }
 
+    void evacuation_beforeStart_listed()
+    {
+        m_stand->write("keyed.op", { "evacuate/zone", "{}" });
+        writeConfiguration(3);
+        m_client->start();
+        EventLoop::waitFor([this] { return m_version == 3; });
+        CPPUNIT_ASSERT(m_evacuated.zones == std::set<ZoneName> { ZoneName("zone") });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 2 }, m_evacuated.version);
+    }
+
+    void evacuation_writtenAndDropped_reportedInOrder()
+    {
+        m_client->start();
+        EventLoop::waitFor([this] { return m_stand->lists >= 2; });
+        m_stand->write("keyed.op", { "evacuate/zone", "{}" });
+        EventLoop::waitFor([this] { return m_evacuated.zones.size() == 1; });
+        const std::uint64_t version = m_evacuated.version;
+        m_stand->write("keyed.op", { "evacuate/zone", std::nullopt });
+        EventLoop::waitFor([this] { return m_evacuated.zones.empty(); });
+        CPPUNIT_ASSERT(m_evacuated.version > version);
+    }
+
+    void evacuation_droppedWhileAway_listedAgain()
+    {
+        m_stand->write("keyed.op", { "evacuate/zone", "{}" });
+        m_client->start();
+        EventLoop::waitFor([this] { return m_evacuated.zones.size() == 1; });
+        m_stand->refuses = true;
+        m_stand->write("keyed.op", { "evacuate/zone", std::nullopt });
+        m_stand->forget("keyed.op");
+        m_stand->refuses = false;
+        EventLoop::waitFor([this] { return m_evacuated.zones.empty(); });
+    }
+
     void target_damagedEntry_rejectedOthersRead()
     {
         m_stand->write("keyed.servers", { "i-1", QByteArray("\xff not JSON") });
@@ -123,6 +160,15 @@
     {
         m_version = configuration.version.value;
     }
+    void evacuationsListed(EvacuatedZones zones) override
+    {
+        m_evacuated = std::move(zones);
+    }
+    void evacuationChanged(const ZoneName &zone, bool evacuated, std::uint64_t version) override
+    {
+        evacuated ? (void)m_evacuated.zones.insert(zone) : (void)m_evacuated.zones.erase(zone);
+        m_evacuated.version = version;
+    }
     void targetUpdated(const DispatchTarget &) override
     {
     }
@@ -174,6 +220,7 @@
     std::unique_ptr<StoreStandIn> m_stand;
     std::unique_ptr<StoreClient> m_client;
     std::uint64_t m_version = 0;
+    EvacuatedZones m_evacuated;
     std::vector<DispatchTarget> m_listed;
     int m_rejected = 0;
     int m_instances = 0;
