Ownership: strong instances join first, and replace weak owners

Cause: on the remittance site weak instances (0.12 of a core, good for 28 targets) owned 44 targets each while strong ones (0.5) stood by. Their responses took 80 to 200 ms from the first second of load on, the pacer's window shrank to 4, and they refused as too late what others had room for: 853, 741, 565 and 403 of 3,087 refusals by weak owners, 51, 37 and 241 by strong ones. At the first start the takeover delay of 500 ms ran before the list of instances was complete, so all candidates joined at the moment it was, weak ones too; nothing replaced them later.

Change: the delay begins when the list has settled; a candidate that enough reachable ones precede waits 500 ms longer; a strong standby joins while weak instances own targets, and these step down once the strong ones carry all.

--- a/include/eelgrasscleat/Dispatch/ZoneOwnership.h
+++ b/include/eelgrasscleat/Dispatch/ZoneOwnership.h
@@ -36,6 +36,9 @@
     /// An instance joins after this long without contact to any owner, if not all of its zone's instances are
     /// reachable: an unreachable one may be the owner.
     Duration takeoverDelay = std::chrono::milliseconds(500);
+    /// Added to takeoverDelay while as many reachable candidates as the zone needs owners precede this instance: they
+    /// take over themselves, unless they reach an owner that this instance doesn't.
+    Duration rankedTakeoverDelay = std::chrono::milliseconds(500);
     /// Added to takeoverDelay if ZoneView::takesOverLate is set: two takeovers.
     Duration extraTakeoverDelay = std::chrono::milliseconds(1500);
     /// When the owners have had more targets each than planned for this long, the first instances in the order of
@@ -73,6 +76,8 @@
     std::size_t listedOwners = 0; ///< Owners that others list but with which this instance has no session.
     std::size_t targetsPerOwner = kMaxTargetsPerOwner; ///< What the weakest owner can carry.
     std::size_t usefulOwners = SIZE_MAX; ///< With more owners, the weakest ones would limit the others.
+    std::size_t weakOwners = 0; ///< Other reachable owners that can't carry targetsPerOwner.
+    bool isWeak = false; ///< This instance can't carry targetsPerOwner either.
 };
 
 /// The platform's response to a renewal.
@@ -137,6 +142,7 @@
 
 private:
     [[nodiscard]] bool wantsToJoin(const ZoneView &view, Instant now);
+    [[nodiscard]] static std::size_t capableOwners(const ZoneView &view);
     void checkSurplus(const ZoneView &view, Instant now);
     [[nodiscard]] bool wantsToLeave(const ZoneView &view, bool isIdle, bool wasSteppingDown, Instant now);
     void finishHandover(Instant now);
--- a/lib/Dispatch/ZoneOwnership.cpp
+++ b/lib/Dispatch/ZoneOwnership.cpp
@@ -62,6 +62,12 @@
     m_stopping = true;
 }
 
+/// @returns the number of other owners that need no replacement by this instance. A weak instance replaces none.
+std::size_t ZoneOwnership::capableOwners(const ZoneView &view)
+{
+    return view.isWeak ? view.otherOwners : view.otherOwners - view.weakOwners;
+}
+
 bool ZoneOwnership::wantsToJoin(const ZoneView &view, Instant now)
 {
     if (m_stopping || now < m_rejoinAt || !view.isSettled) {
@@ -71,24 +77,28 @@
         && view.precedingCandidates < std::max<std::size_t>(1, neededOwners(view))) {
         return true;
     }
-    const Duration extraDelay = view.takesOverLate ? m_policy.extraTakeoverDelay : Duration::zero();
+    const bool isOutranked = view.precedingCandidates >= std::max<std::size_t>(1, neededOwners(view));
+    const Duration extraDelay = view.takesOverLate ? m_policy.extraTakeoverDelay
+        : isOutranked                              ? m_policy.rankedTakeoverDelay
+                                                   : Duration::zero();
     if (now - m_ownerSeenAt >= m_policy.takeoverDelay + extraDelay) {
         return true;
     }
     if (view.otherOwners == 0) {
         return false;
     }
-    const bool isNeeded = view.otherOwners + view.listedOwners + view.precedingCandidates < neededOwners(view);
+    const bool isNeeded = capableOwners(view) + view.listedOwners + view.precedingCandidates < neededOwners(view);
     return now - m_enoughOwnersAt >= (isNeeded ? m_policy.scaleOutDelay : m_policy.fallbackScaleOutDelay);
 }
 
 /// Several instances may have taken over at the same time. All owners that the targets don't need step down together,
-/// since each change of the members moves shards.
+/// since each change of the members moves shards. A weak one, which took over while stronger ones were away, steps down
+/// as soon as these carry all targets.
 void ZoneOwnership::checkSurplus(const ZoneView &view, Instant now)
 {
     const auto capacity = static_cast<double>(view.precedingOwners * view.targetsPerOwner);
     const bool isSurplus = !m_shards.empty() && view.otherOwners > 0
-        && static_cast<double>(view.ownedTargets) <= capacity * kScaleInFillLimit;
+        && static_cast<double>(view.ownedTargets) <= capacity * (view.isWeak ? 1 : kScaleInFillLimit);
     if (!isSurplus) {
         m_neededAt = now;
     } else if (now - m_neededAt >= m_policy.scaleInDelay && !m_steppingDown) {
@@ -136,11 +146,12 @@
         m_enoughOwnersAt = now;
         m_neededAt = now;
     }
-    if (view.otherOwners > 0) {
+    if (view.otherOwners > 0 || !view.isSettled) {
         m_ownerSeenAt = now;
     }
     const std::size_t owners = view.otherOwners + (m_shards.empty() ? 0 : 1);
-    if (owners + view.listedOwners >= neededOwners(view)) {
+    const std::size_t capable = capableOwners(view) + (m_shards.empty() ? 0 : 1);
+    if (capable + view.listedOwners >= neededOwners(view)) {
         m_enoughOwnersAt = now;
     }
     const bool wasSteppingDown = m_steppingDown;
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -138,8 +138,18 @@
 {
     ZoneView view = m_peerLink.zoneView(m_now);
     view.ownedTargets = std::max<std::size_t>(view.ownedTargets, m_dispatcher.load().targets);
+    const bool wasMember = m_ownership.isMember();
     const MembershipAction action = m_ownership.advance(view, areHandoverTargetsIdle(), m_now);
     applyOwnership();
+    if (!wasMember && m_ownership.isMember()) {
+        m_log.recordEvent("joining the zone's group",
+                          { { "targets", std::uint64_t { view.ownedTargets } },
+                            { "targets_per_owner", std::uint64_t { view.targetsPerOwner } },
+                            { "useful_owners", std::uint64_t { view.usefulOwners } },
+                            { "other_owners", std::uint64_t { view.otherOwners } },
+                            { "preceding_candidates", std::uint64_t { view.precedingCandidates } },
+                            { "all_peers_reachable", std::uint64_t { view.allPeersReachable ? 1U : 0U } } });
+    }
     // Started before the first shards are assigned, so that the list is available then.
     const bool wantsTargets = m_ownership.wantsTargetCount(view, m_now);
     m_store->watchTargets(wantsTargets);
--- a/lib/Node/PeerSessions.cpp
+++ b/lib/Node/PeerSessions.cpp
@@ -159,6 +159,8 @@
         std::all_of(candidates.begin(), candidates.end(), [&](const InstanceName &it) { return isReachable(it, now); });
     view.isSettled = !m_isBootstrap || now - m_registeredAt >= kSettleTime;
     view.takesOverLate = !m_selector.isCandidate();
+    const OwnerPlan plan = m_selector.ownerPlan();
+    view.isWeak = targetLimit(m_self.capacity) < plan.targetsPerOwner;
     for (const auto &it : m_peers) {
         if (it.second.registration.zone != m_self.zone || !isReachable(it.first, now)) {
             continue;
@@ -170,12 +172,12 @@
             ++view.otherOwners;
             view.ownedTargets += it.second.ownedTargets;
             view.precedingOwners += precedes ? 1 : 0;
+            view.weakOwners += targetLimit(it.second.registration.capacity) < plan.targetsPerOwner ? 1 : 0;
         }
     }
     view.ownedTargets = std::max(view.ownedTargets, zoneTargets());
     const std::size_t knownOwners = m_selector.knownZoneOwners(now);
     view.listedOwners = knownOwners > view.otherOwners ? knownOwners - view.otherOwners : 0;
-    const OwnerPlan plan = m_selector.ownerPlan();
     view.targetsPerOwner = plan.targetsPerOwner;
     view.usefulOwners = plan.owners;
     return view;
