--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -6,8 +6,10 @@
 
 #include <eelgrasscleat/Dispatch/CommandPacer.h>
 #include <eelgrasscleat/Dispatch/JobTypes.h>
+#include <eelgrasscleat/Dispatch/PlaceTable.h>
 #include <eelgrasscleat/Dispatch/TargetCommands.h>
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <string_view>
@@ -61,6 +63,9 @@
     std::uint64_t freeMilliCores = 0;
     std::uint32_t largestMilliCores = 0; ///< Largest capacity of a single target.
     std::uint64_t queuedCoreMillis = 0; ///< Expected work of queued tasks, in core-milliseconds.
+    /// The part of it that is placed before a new job of priority i, for the most urgent priorities.
+    std::array<std::uint64_t, 3> urgentCoreMillis {};
+    PlaceTable places; ///< Free places on usable targets.
     bool draining = false; ///< Only jobs that end within drainLeft are accepted.
     Duration drainLeft {};
     bool operator==(const DispatcherLoad &) const = default;
--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -1,13 +1,14 @@
 /// @file
-/// Routes the jobs of callers connected to this instance to dispatchers, and reports their results to the callers.
-/// Contains no clock, thread or socket.
+/// Routes the jobs of callers connected to this instance to dispatchers, and reports their results to the callers. A
+/// job may be divided among several dispatchers, each of which runs some of its tasks. Contains no clock, thread or
+/// socket.
 #pragma once
 
 #include <eelgrasscleat/Dispatch/Dispatcher.h>
+#include <eelgrasscleat/Dispatch/TaskDivision.h>
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -22,8 +23,10 @@
     /// Expected wait that a dispatcher in another availability zone must save: covers two zone crossings and the price
     /// of the transferred bytes.
     Duration crossZonePenalty = std::chrono::milliseconds(25);
-    /// Maximum number of dispatchers tried one after the other when each refuses; each costs a round trip.
+    /// Maximum number of dispatchers that may refuse a job or parts of it before it is refused to the caller; each
+    /// costs a round trip.
     std::uint32_t maxDispatchersTried = 2;
+    DivisionPolicy division;
     /// Maximum number of open jobs. Bounds memory: a job takes about 2 KB.
     std::uint32_t maxOpenJobs = 4000;
     /// Retry delay given to a refused caller while no dispatcher is known: the time of an ownership takeover.
@@ -37,9 +40,9 @@
 {
 public:
     virtual ~JobRouterObserver() = default;
-    /// Submits a job to a dispatcher.
+    /// Submits a job, or a part of it, to a dispatcher. A dispatcher never has two parts of a job.
     virtual void jobRouted(const InstanceName &dispatcher, std::uint64_t ticket, const JobRequest &request) = 0;
-    /// Cancels a job at a dispatcher.
+    /// Cancels a job or part of it at a dispatcher.
     virtual void jobWithdrawn(const InstanceName &dispatcher, std::uint64_t ticket) = 0;
     /// Responds to the caller; called once for each submitted job unless its caller has disconnected.
     virtual void jobAnswered(CallerId caller, const JobEnd &end) = 0;
@@ -55,7 +58,7 @@
     void submit(CallerId caller, JobRequest request);
     /// The caller closed its connection or canceled.
     void callerGone(CallerId caller);
-    /// A dispatcher reported the result of a job.
+    /// A dispatcher reported the result of a job or part of it.
     void jobEnded(const InstanceName &dispatcher, const JobEnd &end, Instant now);
 
     /// An instance that owns targets reported its load.
@@ -88,12 +91,19 @@
     [[nodiscard]] std::uint32_t openJobs(const RouteName &route) const;
 
 private:
+    /// Some or all tasks of a job at one dispatcher.
+    struct Part
+    {
+        InstanceName dispatcher;
+        JobRequest request; ///< With the tasks of the part.
+    };
     struct OpenJob
     {
         CallerId caller;
         JobRequest request;
-        InstanceName dispatcher;
+        std::map<std::uint64_t, Part> parts; ///< Parts without a result, by ticket.
         std::set<InstanceName> refusedBy;
+        bool hasRun = false; ///< A part is complete.
     };
     struct DispatcherState
     {
@@ -104,19 +114,24 @@
         double routedMilliCores = 0; ///< Demand of the jobs routed there since its last report.
     };
 
-    [[nodiscard]] std::optional<InstanceName> chooseDispatcher(const JobRequest &request,
-                                                               const std::set<InstanceName> &excluded);
-    [[nodiscard]] double expectedWait(const DispatcherState &state, const JobRequest &request) const;
-    bool route(std::uint64_t ticket, OpenJob &job);
-    void refuseUnroutable(std::uint64_t ticket);
+    [[nodiscard]] bool canRun(const DispatcherState &state, const JobRequest &request) const;
+    [[nodiscard]] DivisionCandidate
+    candidate(const InstanceName &name, const DispatcherState &state, const JobRequest &request) const;
+    [[nodiscard]] std::vector<TaskShare> chooseDispatchers(const OpenJob &job, const JobRequest &request) const;
+    bool route(std::uint64_t number, OpenJob &job, const JobRequest &request);
+    void partRefused(std::uint64_t number, std::uint64_t ticket, const JobEnd &end, Instant now);
+    void refuseUnroutable(std::uint64_t number);
     [[nodiscard]] bool isEvacuated(const DispatcherState &state) const;
-    void answer(std::uint64_t ticket, JobOutcome outcome, JobEndReason reason, Duration retryAfter);
+    void withdraw(const OpenJob &job);
+    void answer(std::uint64_t number, JobOutcome outcome, JobEndReason reason, Duration retryAfter);
 
     JobRouterPolicy m_policy;
     ZoneName m_zone;
     JobRouterObserver &m_observer;
+    std::uint64_t m_lastJob = 0;
     std::uint64_t m_lastTicket = 0;
-    std::map<std::uint64_t, OpenJob> m_open;
+    std::map<std::uint64_t, OpenJob> m_open; ///< By number.
+    std::map<std::uint64_t, std::uint64_t> m_jobOfTicket;
     std::map<CallerId, std::uint64_t> m_byCaller;
     std::map<InstanceName, DispatcherState> m_dispatchers;
     std::set<ZoneName> m_evacuatedZones;
--- a/include/eelgrasscleat/Dispatch/JobTypes.h
+++ b/include/eelgrasscleat/Dispatch/JobTypes.h
@@ -42,6 +42,7 @@
 struct JobStep
 {
     std::uint32_t tasks = 1;
+    std::uint32_t firstTask = 0; ///< Index of the first task; above 0 if this is a part of a divided job.
     ResourceDemand demand; ///< Per task.
     Duration estimate {}; ///< Run time of a task as estimated by the caller; 0 if not given.
     std::vector<std::uint32_t> predecessors; ///< Indexes of steps that must be done before this one starts.
--- a/include/eelgrasscleat/Node/Ports.h
+++ b/include/eelgrasscleat/Node/Ports.h
@@ -95,7 +95,7 @@
     virtual void registerInstance(const InstanceRegistration &instance) = 0;
     /// Removes the registration of this instance.
     virtual void deregisterInstance(const InstanceName &name, std::function<void()> done) = 0;
-    /// Starts or stops watching the list of targets.
+    /// Starts or stops watching the targets of this instance's zone.
     virtual void watchTargets(bool watch) = 0;
     /// Joins the zone's group, or renews the membership. After an error it is unknown whether the call took effect.
     virtual void renewMembership(std::uint64_t generation,
@@ -116,7 +116,7 @@
     virtual void evacuationChanged(const ZoneName &zone, bool evacuated, std::uint64_t version) = 0;
     virtual void targetUpdated(const DispatchTarget &target) = 0;
     virtual void targetRemoved(const TargetName &target) = 0;
-    /// The complete list of targets was read.
+    /// The complete list of the zone's targets was read.
     virtual void targetListReceived(const std::vector<DispatchTarget> &targets) = 0;
     virtual void instanceUpdated(const InstanceRegistration &instance) = 0;
     virtual void instanceRemoved(const InstanceName &name) = 0;
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -296,7 +296,7 @@
             if (!m_pacer.mayStart()) {
                 return false;
             }
-            const TaskName task { job.request.id, step, i };
+            const TaskName task = job.taskName(step, i);
             OwnedTarget *target = m_selector.select(job, task, run, now);
             if (target == nullptr) {
                 return false;
@@ -373,9 +373,21 @@
         load.freeMilliCores += it.second->tracker.freeCapacity().milliCores;
         load.largestMilliCores = std::max(load.largestMilliCores, capacity);
     }
-    constexpr double kMicrosPerMilli = 1000;
-    const QueuedWork queuedWork = m_jobTable.queuedWork(UINT32_MAX);
-    load.queuedCoreMillis = static_cast<std::uint64_t>(queuedWork.milliCoreMicros / kMicrosPerMilli / 1000);
+    load.places = PlaceTable(load.largestMilliCores);
+    for (const auto &it : m_targets) {
+        if (m_selector.isUsable(*it.second, now)) {
+            load.places.add(it.second->tracker.freeCapacity().milliCores);
+        }
+    }
+    const auto queuedCoreMillis = [this](std::uint32_t priority) {
+        constexpr double kMilliCoreMicrosPerCoreMilli = 1e6;
+        return static_cast<std::uint64_t>(m_jobTable.queuedWork(priority).milliCoreMicros
+                                          / kMilliCoreMicrosPerCoreMilli);
+    };
+    load.queuedCoreMillis = queuedCoreMillis(UINT32_MAX);
+    for (std::uint32_t i = 0; i < load.urgentCoreMillis.size(); ++i) {
+        load.urgentCoreMillis[i] = queuedCoreMillis(i);
+    }
     return load;
 }
 
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -45,7 +45,7 @@
 void Dispatcher::Impl::startRun(OwnedTarget &target, ActiveJob &job, const TaskName &task, Instant now)
 {
     const JobStep &step = job.request.steps[task.step];
-    TaskEntry &entry = job.steps[task.step][task.index];
+    TaskEntry &entry = job.entry(task);
     RecentJob &recent = m_recentJobs[job.request.id];
     entry.run = std::max(entry.run + 1, recent.lastRunNumber + (entry.run == 0 ? 1 : 0));
     recent.lastUsedAt = now;
@@ -131,7 +131,7 @@
     if (job == nullptr) {
         return;
     }
-    TaskEntry &entry = job->steps[name.task.step][name.task.index];
+    TaskEntry &entry = job->entry(name.task);
     if (entry.state == TaskState::Dispatched && entry.run == name.run) {
         entry.lastTarget = target;
         m_jobTable.setState(*job, name.task, TaskState::Ready);
@@ -340,8 +340,8 @@
                           name,
                           std::chrono::duration<double, std::milli>(now - end.record.dispatchedAt).count());
     ActiveJob *job = m_jobTable.find(end.record.job);
-    const bool isCurrent = job != nullptr && job->steps[end.run.task.step][end.run.task.index].run == end.run.run
-        && job->steps[end.run.task.step][end.run.task.index].state == TaskState::Dispatched;
+    const bool isCurrent = job != nullptr && job->entry(end.run.task).run == end.run.run
+        && job->entry(end.run.task).state == TaskState::Dispatched;
     if (end.kind == RunEndKind::Done || end.kind == RunEndKind::Failed) {
         updateHealth(target, outcomeOf(end.kind), now);
     }
@@ -380,7 +380,7 @@
 
 void Dispatcher::Impl::runFailed(ActiveJob &job, const TaskName &task, Instant now)
 {
-    TaskEntry &entry = job.steps[task.step][task.index];
+    TaskEntry &entry = job.entry(task);
     ++entry.failures;
     if (entry.failures >= job.request.attempts) {
         terminateJob(job, JobOutcome::Failed, JobEndReason::AttemptsExhausted, now);
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -3,7 +3,6 @@
 #include <eelgrasscleat/Dispatch/JobRouter.h>
 
 #include <algorithm>
-#include <limits>
 
 namespace Eelgrasscleat
 {
@@ -24,6 +23,15 @@
     return demand;
 }
 
+std::uint32_t totalTasks(const JobRequest &request)
+{
+    std::uint32_t tasks = 0;
+    for (const JobStep &it : request.steps) {
+        tasks += it.tasks;
+    }
+    return tasks;
+}
+
 /// @returns the caller's estimate of the job's run time if its steps run one after the other.
 Duration sequentialEstimate(const JobRequest &request)
 {
@@ -54,29 +62,29 @@
 
 void JobRouter::submit(CallerId caller, JobRequest request)
 {
-    const std::uint64_t ticket = ++m_lastTicket;
-    OpenJob &job = m_open[ticket];
+    const std::uint64_t number = ++m_lastJob;
+    OpenJob &job = m_open[number];
     job.caller = caller;
     job.request = std::move(request);
-    m_byCaller[caller] = ticket;
+    m_byCaller[caller] = number;
     if (m_open.size() > m_policy.maxOpenJobs) {
-        answer(ticket, JobOutcome::Refused, JobEndReason::QueueFull, m_policy.takeoverTime);
+        answer(number, JobOutcome::Refused, JobEndReason::QueueFull, m_policy.takeoverTime);
         return;
     }
-    if (!route(ticket, job)) {
-        refuseUnroutable(ticket);
+    if (!route(number, job, job.request)) {
+        refuseUnroutable(number);
     }
 }
 
 /// Refuses a job that no dispatcher can take.
-void JobRouter::refuseUnroutable(std::uint64_t ticket)
+void JobRouter::refuseUnroutable(std::uint64_t number)
 {
     const bool evacuated = std::any_of(
         m_dispatchers.begin(), m_dispatchers.end(), [this](const auto &it) { return isEvacuated(it.second); });
     if (evacuated) {
-        answer(ticket, JobOutcome::Refused, JobEndReason::ZoneEvacuated, m_policy.evacuationRetryDelay);
+        answer(number, JobOutcome::Refused, JobEndReason::ZoneEvacuated, m_policy.evacuationRetryDelay);
     } else {
-        answer(ticket, JobOutcome::Refused, JobEndReason::NoDispatcher, m_policy.takeoverTime);
+        answer(number, JobOutcome::Refused, JobEndReason::NoDispatcher, m_policy.takeoverTime);
     }
 }
 
@@ -90,67 +98,95 @@
     m_evacuatedZones = std::move(zones);
 }
 
-/// Routes a job to the best dispatcher that has not refused it. @returns whether there was one.
-bool JobRouter::route(std::uint64_t ticket, OpenJob &job)
+/// Routes tasks of a job to the best dispatchers that have neither refused the job nor a part of it.
+/// @param request the job, or the part of it that has no dispatcher
+/// @returns whether there was a dispatcher.
+bool JobRouter::route(std::uint64_t number, OpenJob &job, const JobRequest &request)
 {
-    const auto dispatcher = chooseDispatcher(job.request, job.refusedBy);
-    if (!dispatcher) {
-        return false;
+    const auto shares = chooseDispatchers(job, request);
+    std::uint32_t firstTask = request.steps.front().firstTask;
+    for (const TaskShare &it : shares) {
+        const std::uint64_t ticket = ++m_lastTicket;
+        Part &part = job.parts[ticket];
+        part.dispatcher = it.name;
+        part.request = request;
+        if (shares.size() > 1) {
+            part.request.steps.front().firstTask = firstTask;
+            part.request.steps.front().tasks = it.tasks;
+            firstTask += it.tasks;
+        }
+        m_jobOfTicket[ticket] = number;
+        m_dispatchers[it.name].routedMilliCores += totalDemand(part.request);
+        m_observer.jobRouted(it.name, ticket, part.request);
     }
-    job.dispatcher = *dispatcher;
-    m_dispatchers[*dispatcher].routedMilliCores += totalDemand(job.request);
-    m_observer.jobRouted(*dispatcher, ticket, job.request);
-    return true;
+    return !shares.empty();
 }
 
-/// @returns the expected time in milliseconds until the dispatcher can place the job, or infinity if it never can.
-double JobRouter::expectedWait(const DispatcherState &state, const JobRequest &request) const
+/// @returns whether the dispatcher may take tasks of the job.
+bool JobRouter::canRun(const DispatcherState &state, const JobRequest &request) const
 {
     const DispatcherLoad &load = state.load;
     if (!state.ownsTargets || isEvacuated(state) || load.targets == 0
         || largestTaskDemand(request) > load.largestMilliCores) {
-        return std::numeric_limits<double>::infinity();
+        return false;
     }
     const Duration estimate = sequentialEstimate(request);
-    if (load.draining && (estimate == Duration::zero() || estimate * kDrainRunTimeFactor > load.drainLeft)) {
-        return std::numeric_limits<double>::infinity();
-    }
-    const double demand = totalDemand(request);
+    return !load.draining || (estimate > Duration::zero() && estimate * kDrainRunTimeFactor <= load.drainLeft);
+}
+
+DivisionCandidate
+JobRouter::candidate(const InstanceName &name, const DispatcherState &state, const JobRequest &request) const
+{
+    const DispatcherLoad &load = state.load;
+    const double demand = std::max(totalDemand(request) / totalTasks(request), 1.0);
     const double cores = static_cast<double>(load.totalMilliCores) / kMillisPerCore;
-    const double missing = demand + state.routedMilliCores - static_cast<double>(load.freeMilliCores);
-    double wait = static_cast<double>(load.queuedCoreMillis) / cores;
-    if (missing > 0) {
-        wait += missing / kMillisPerCore * kTypicalRunMs / cores;
-    }
+    const std::uint64_t queued = request.priority < load.urgentCoreMillis.size()
+        ? load.urgentCoreMillis[request.priority]
+        : load.queuedCoreMillis;
+    DivisionCandidate candidate;
+    candidate.name = name;
+    candidate.waitMs = static_cast<double>(queued) / cores;
+    candidate.places = load.places.places(demand) - state.routedMilliCores / demand;
+    candidate.msPerTask = demand / kMillisPerCore * kTypicalRunMs / cores;
     if (state.zone != m_zone || load.draining) {
-        wait += std::chrono::duration<double, std::milli>(m_policy.crossZonePenalty).count();
+        candidate.delayMs = std::chrono::duration<double, std::milli>(m_policy.crossZonePenalty).count();
     }
-    return wait;
+    return candidate;
 }
 
-std::optional<InstanceName> JobRouter::chooseDispatcher(const JobRequest &request,
-                                                        const std::set<InstanceName> &excluded)
+std::vector<TaskShare> JobRouter::chooseDispatchers(const OpenJob &job, const JobRequest &request) const
 {
-    std::optional<InstanceName> best;
-    double bestWait = std::numeric_limits<double>::infinity();
+    std::vector<DivisionCandidate> candidates;
     for (const auto &it : m_dispatchers) {
-        if (excluded.count(it.first) > 0) {
-            continue;
-        }
-        const double wait = expectedWait(it.second, request);
-        if (wait < bestWait) {
-            bestWait = wait;
-            best = it.first;
+        const bool hasPart = std::any_of(
+            job.parts.begin(), job.parts.end(), [&it](const auto &part) { return part.second.dispatcher == it.first; });
+        if (!hasPart && job.refusedBy.count(it.first) == 0 && canRun(it.second, request)) {
+            candidates.push_back(candidate(it.first, it.second, request));
         }
     }
-    return best;
+    DivisionPolicy policy = m_policy.division;
+    // A limit for each target, or steps that wait for each other, hold for the whole job.
+    const bool isDivisible = request.steps.size() == 1 && request.steps.front().perTargetLimit == 0;
+    policy.maxParts = isDivisible ? policy.maxParts : 1;
+    return divideTasks(totalTasks(request), candidates, policy);
 }
 
-void JobRouter::answer(std::uint64_t ticket, JobOutcome outcome, JobEndReason reason, Duration retryAfter)
+/// Cancels all parts without a result.
+void JobRouter::withdraw(const OpenJob &job)
 {
-    const auto it = m_open.find(ticket);
+    for (const auto &it : job.parts) {
+        m_observer.jobWithdrawn(it.second.dispatcher, it.first);
+    }
+}
+
+void JobRouter::answer(std::uint64_t number, JobOutcome outcome, JobEndReason reason, Duration retryAfter)
+{
+    const auto it = m_open.find(number);
     const CallerId caller = it->second.caller;
-    const JobEnd end { it->second.request.id, ticket, outcome, reason, retryAfter };
+    const JobEnd end { it->second.request.id, number, outcome, reason, retryAfter };
+    for (const auto &part : it->second.parts) {
+        m_jobOfTicket.erase(part.first);
+    }
     m_byCaller.erase(caller);
     m_open.erase(it);
     m_observer.jobAnswered(caller, end);
@@ -162,29 +198,60 @@
     if (it == m_byCaller.end()) {
         return;
     }
-    const std::uint64_t ticket = it->second;
-    m_observer.jobWithdrawn(m_open[ticket].dispatcher, ticket);
-    m_open.erase(ticket);
+    const std::uint64_t number = it->second;
+    const OpenJob &job = m_open.at(number);
+    withdraw(job);
+    for (const auto &part : job.parts) {
+        m_jobOfTicket.erase(part.first);
+    }
+    m_open.erase(number);
     m_byCaller.erase(it);
 }
 
 void JobRouter::jobEnded(const InstanceName &dispatcher, const JobEnd &end, Instant now)
 {
-    const auto it = m_open.find(end.ticket);
-    if (it == m_open.end() || it->second.dispatcher != dispatcher) {
-        return; // Already ended here, or routed to another dispatcher since.
+    const auto found = m_jobOfTicket.find(end.ticket);
+    if (found == m_jobOfTicket.end()) {
+        return; // The job has already been answered.
+    }
+    const std::uint64_t number = found->second;
+    OpenJob &job = m_open.at(number);
+    if (job.parts.at(end.ticket).dispatcher != dispatcher) {
+        return;
     }
-    OpenJob &job = it->second;
     if (end.outcome == JobOutcome::Refused) {
-        job.refusedBy.insert(dispatcher);
-        const bool mayTryOthers =
-            end.reason == JobEndReason::ZoneEvacuated || job.refusedBy.size() < m_policy.maxDispatchersTried;
-        const bool canTryOthers = mayTryOthers && now < job.request.deadline;
-        if (canTryOthers && route(end.ticket, job)) {
+        partRefused(number, end.ticket, end, now);
+        return;
+    }
+    job.parts.erase(end.ticket);
+    m_jobOfTicket.erase(found);
+    if (end.outcome == JobOutcome::Complete) {
+        job.hasRun = true;
+        if (!job.parts.empty()) {
             return;
         }
     }
-    answer(end.ticket, end.outcome, end.reason, end.retryAfter);
+    withdraw(job);
+    answer(number, end.outcome, end.reason, end.retryAfter);
+}
+
+/// Routes a part elsewhere that was refused. If that fails, the job can't complete.
+void JobRouter::partRefused(std::uint64_t number, std::uint64_t ticket, const JobEnd &end, Instant now)
+{
+    OpenJob &job = m_open.at(number);
+    const Part part = std::move(job.parts.at(ticket));
+    job.parts.erase(ticket);
+    m_jobOfTicket.erase(ticket);
+    job.refusedBy.insert(part.dispatcher);
+    const bool mayTryOthers =
+        end.reason == JobEndReason::ZoneEvacuated || job.refusedBy.size() < m_policy.maxDispatchersTried;
+    if (mayTryOthers && now < job.request.deadline && route(number, job, part.request)) {
+        return;
+    }
+    // Tasks of other parts may run, or have run.
+    const bool mayHaveRun = job.hasRun || !job.parts.empty();
+    withdraw(job);
+    answer(number, mayHaveRun ? JobOutcome::Abandoned : JobOutcome::Refused, end.reason, end.retryAfter);
 }
 
 void JobRouter::dispatcherReported(const InstanceName &name,
@@ -213,13 +280,15 @@
     m_dispatchers.erase(name);
     std::vector<std::uint64_t> lost;
     for (const auto &it : m_open) {
-        if (it.second.dispatcher == name) {
+        const auto &parts = it.second.parts;
+        if (std::any_of(
+                parts.begin(), parts.end(), [&name](const auto &part) { return part.second.dispatcher == name; })) {
             lost.push_back(it.first);
         }
     }
     for (const std::uint64_t it : lost) {
         // The dispatcher may be alive but unreachable from here: it must not continue.
-        m_observer.jobWithdrawn(name, it);
+        withdraw(m_open.at(it));
         answer(it, JobOutcome::Abandoned, JobEndReason::DispatcherLost, {});
     }
 }
@@ -249,7 +318,7 @@
         }
     }
     for (const std::uint64_t it : late) {
-        m_observer.jobWithdrawn(m_open[it].dispatcher, it);
+        withdraw(m_open.at(it));
         answer(it, JobOutcome::Expired, JobEndReason::DeadlinePassed, {});
     }
 }
@@ -271,7 +340,9 @@
 {
     std::set<InstanceName> names;
     for (const auto &it : m_open) {
-        names.insert(it.second.dispatcher);
+        for (const auto &part : it.second.parts) {
+            names.insert(part.second.dispatcher);
+        }
     }
     return names;
 }
@@ -288,9 +359,8 @@
     if (it == m_open.end()) {
         return false;
     }
-    const std::uint64_t ticket = it->first;
-    m_observer.jobWithdrawn(it->second.dispatcher, ticket);
-    answer(ticket, JobOutcome::Canceled, JobEndReason::CallerGone, {});
+    withdraw(it->second);
+    answer(it->first, JobOutcome::Canceled, JobEndReason::CallerGone, {});
     return true;
 }
 
--- a/lib/Dispatch/JobTable.cpp
+++ b/lib/Dispatch/JobTable.cpp
@@ -107,9 +107,7 @@
     for (std::size_t step = 0; step < job.steps.size(); ++step) {
         for (std::size_t i = 0; i < job.steps[step].size(); ++i) {
             if (job.steps[step][i].state == TaskState::Ready) {
-                setState(job,
-                         { job.request.id, static_cast<std::uint32_t>(step), static_cast<std::uint32_t>(i) },
-                         TaskState::Blocked);
+                setState(job, job.taskName(step, i), TaskState::Blocked);
             }
         }
     }
@@ -141,7 +139,7 @@
 
 void JobTable::setState(ActiveJob &job, const TaskName &task, TaskState state)
 {
-    TaskEntry &entry = job.steps.at(task.step).at(task.index);
+    TaskEntry &entry = job.entry(task);
     if (entry.state == state) {
         return;
     }
@@ -182,7 +180,7 @@
             continue;
         }
         for (std::uint32_t i = 0; i < job.steps[step].size(); ++i) {
-            setState(job, { job.request.id, step, i }, TaskState::Ready);
+            setState(job, job.taskName(step, i), TaskState::Ready);
         }
     }
 }
--- a/lib/Dispatch/JobTable.h
+++ b/lib/Dispatch/JobTable.h
@@ -47,6 +47,23 @@
     Duration criticalPath {}; ///< Expected run time of its critical path on the reference target.
     Instant objectiveAt {}; ///< Completion by this time meets the latency objective.
     Instant usefulUntil {}; ///< Completion after this time is of no use to the caller.
+
+    /// @returns the state of one of the job's tasks.
+    [[nodiscard]] TaskEntry &entry(const TaskName &task)
+    {
+        return steps.at(task.step).at(task.index - request.steps[task.step].firstTask);
+    }
+    [[nodiscard]] const TaskEntry &entry(const TaskName &task) const
+    {
+        return steps.at(task.step).at(task.index - request.steps[task.step].firstTask);
+    }
+    /// @returns the name of the task whose state is steps[step][i].
+    [[nodiscard]] TaskName taskName(std::size_t step, std::size_t i) const
+    {
+        return { request.id,
+                 static_cast<std::uint32_t>(step),
+                 request.steps[step].firstTask + static_cast<std::uint32_t>(i) };
+    }
 };
 
 /// Totals of queued tasks.
--- a/lib/Dispatch/TargetSelector.cpp
+++ b/lib/Dispatch/TargetSelector.cpp
@@ -83,7 +83,7 @@
 OwnedTarget *TargetSelector::select(const ActiveJob &job, const TaskName &task, Duration run, Instant now) const
 {
     const JobStep &step = job.request.steps[task.step];
-    const TaskEntry &entry = job.steps[task.step][task.index];
+    const TaskEntry &entry = job.entry(task);
     OwnedTarget *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     for (const auto &it : m_targets) {
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -31,6 +31,7 @@
     message.set_required_label(step.requiredLabel);
     message.set_preferred_rack(step.preferredRack);
     message.set_per_target_limit(step.perTargetLimit);
+    message.set_first_task(step.firstTask);
 }
 
 static JobStep readStep(const schema::DispatchJob::Step &message)
@@ -43,6 +44,7 @@
     step.requiredLabel = message.required_label();
     step.preferredRack = message.preferred_rack();
     step.perTargetLimit = message.per_target_limit();
+    step.firstTask = message.first_task();
     return step;
 }
 
@@ -131,6 +133,16 @@
     message.set_free_milli_cores(load.freeMilliCores);
     message.set_largest_milli_cores(load.largestMilliCores);
     message.set_queued_core_ms(load.queuedCoreMillis);
+    if (load.queuedCoreMillis > 0) {
+        for (const std::uint64_t it : load.urgentCoreMillis) {
+            message.add_urgent_core_ms(it);
+        }
+    }
+    if (load.targets > 0) {
+        for (const std::uint32_t it : load.places.counts()) {
+            message.add_places(it);
+        }
+    }
 }
 
 DispatcherLoad readLoad(const schema::DispatchStatus &message)
@@ -143,6 +155,15 @@
     load.freeMilliCores = message.free_milli_cores();
     load.largestMilliCores = message.largest_milli_cores();
     load.queuedCoreMillis = message.queued_core_ms();
+    // Instances of earlier versions don't tell them: all queued work counts, and there is no place without a wait.
+    load.urgentCoreMillis.fill(load.queuedCoreMillis);
+    const auto priorities =
+        std::min(load.urgentCoreMillis.size(), static_cast<std::size_t>(message.urgent_core_ms_size()));
+    std::copy_n(message.urgent_core_ms().begin(), priorities, load.urgentCoreMillis.begin());
+    PlaceTable::Counts counts {};
+    const auto sizes = std::min(counts.size(), static_cast<std::size_t>(message.places_size()));
+    std::copy_n(message.places().begin(), sizes, counts.begin());
+    load.places = PlaceTable(load.largestMilliCores, counts);
     return load;
 }
 
--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(evacuation_writtenAndDropped_reportedInOrder);
     CPPUNIT_TEST(evacuation_droppedWhileAway_listedAgain);
     CPPUNIT_TEST(target_damagedEntry_rejectedOthersRead);
+    CPPUNIT_TEST(target_otherZone_notReported);
+    CPPUNIT_TEST(target_damagedLater_removed);
     CPPUNIT_TEST(membership_partitionsListed_areShards);
     CPPUNIT_TEST(membership_storeSilent_errorInTime);
     CPPUNIT_TEST(announce_storeRefuses_writtenLater);
@@ -126,6 +128,32 @@
         CPPUNIT_ASSERT_EQUAL(1, m_rejected);
     }
 
+    void target_otherZone_notReported()
+    {
+        m_stand->write("keyed.servers", { "i-1", targetEntry("other") });
+        m_stand->write("keyed.servers", { "i-2", targetEntry() });
+        m_client->watchTargets(true);
+        EventLoop::waitFor([this] { return !m_listed.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_listed.size());
+        m_stand->write("keyed.servers", { "i-1", targetEntry("other") });
+        m_stand->write("keyed.servers", { "i-3", targetEntry() });
+        EventLoop::waitFor([this] { return !m_updated.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("i-3"), m_updated.front().value);
+        CPPUNIT_ASSERT(m_removed.empty());
+    }
+
+    void target_damagedLater_removed()
+    {
+        m_stand->write("keyed.servers", { "i-2", targetEntry() });
+        m_client->watchTargets(true);
+        EventLoop::waitFor([this] { return !m_listed.empty(); });
+        m_stand->write("keyed.servers", { "i-2", QByteArray("\xff not JSON") });
+        EventLoop::waitFor([this] { return m_removed.size() == 1; });
+        m_stand->write("keyed.servers", { "i-2", targetEntry("other") });
+        EventLoop::waitFor([this] { return m_removed.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), m_removed.back().value);
+    }
+
     void membership_partitionsListed_areShards()
     {
         m_stand->groupAnswer = R"({"generation":7,"ttl-ms":1200,"parts":[["zone.zone",3,0],["zone.zone",0,5]]})";
@@ -169,11 +197,13 @@
         evacuated ? (void)m_evacuated.zones.insert(zone) : (void)m_evacuated.zones.erase(zone);
         m_evacuated.version = version;
     }
-    void targetUpdated(const DispatchTarget &) override
+    void targetUpdated(const DispatchTarget &target) override
     {
+        m_updated.push_back(target.name);
     }
-    void targetRemoved(const TargetName &) override
+    void targetRemoved(const TargetName &target) override
     {
+        m_removed.push_back(target);
     }
     void targetListReceived(const std::vector<DispatchTarget> &targets) override
     {
@@ -201,9 +231,9 @@
         m_stand->write("keyed.op", { "config", value });
     }
 
-    static QByteArray targetEntry()
+    static QByteArray targetEntry(const QByteArray &zone = "zone")
     {
-        return R"({"service":"s","addr":"127.0.0.1:1","zone":"zone","state":"ready",
+        return R"({"service":"s","addr":"127.0.0.1:1","zone":")" + zone + R"(","state":"ready",
             "capacity":{"cpu":1000,"mem-mb":64},"labels":[]})";
     }
 
@@ -222,6 +252,8 @@
     std::uint64_t m_version = 0;
     EvacuatedZones m_evacuated;
     std::vector<DispatchTarget> m_listed;
+    std::vector<TargetName> m_updated;
+    std::vector<TargetName> m_removed;
     int m_rejected = 0;
     int m_instances = 0;
     int m_lost = 0;
