Jobs divided among owners by free places; owners refuse to three

Cause: an owner reported the sum of its free cores, which says little where two tasks fit a target only if their sizes do, and a job ran whole at one owner: late or refused there while others had places.

A part keeps the indexes of its tasks; an owner never has two parts of a job; a home that hears from an owner of an earlier version sends jobs whole. Up to three owners may refuse a job instead of two. Jobs of peers with absurd numbers of tasks are refused as malformed: they would have exhausted memory.

--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -25,7 +25,7 @@
     Duration crossZonePenalty = std::chrono::milliseconds(25);
     /// Maximum number of dispatchers that may refuse a job or parts of it before it is refused to the caller; each
     /// costs a round trip.
-    std::uint32_t maxDispatchersTried = 2;
+    std::uint32_t maxDispatchersTried = 3;
     DivisionPolicy division;
     /// Maximum number of open jobs. Bounds memory: a job takes about 2 KB.
     std::uint32_t maxOpenJobs = 4000;
--- a/include/eelgrasscleat/Dispatch/TaskDivision.h
+++ b/include/eelgrasscleat/Dispatch/TaskDivision.h
@@ -15,9 +15,12 @@
 /// wide jobs, while the fleet has some left.
 struct DivisionPolicy
 {
-    /// A job is divided only if its last task is expected to start earlier by more than this: each part costs two
-    /// messages, and may be refused or lost by itself.
-    double minGainMs = 10;
+    /// A job is divided only if its last task is expected to start earlier by more than this.
+    double minGainMs = 0;
+    /// Cost of taking all places of a dispatcher, in proportion to the share taken: reports are old by some statuses,
+    /// and other homes send tasks there, too. It spreads tasks, by more than the price of a way to another zone once a
+    /// dispatcher is half full.
+    double fullPlacesCostMs = 50;
     /// Maximum number of parts.
     std::size_t maxParts = 4;
 };
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -157,16 +157,19 @@
 std::vector<TaskShare> JobRouter::chooseDispatchers(const OpenJob &job, const JobRequest &request) const
 {
     std::vector<DivisionCandidate> candidates;
+    // Instances of earlier versions take a part for a whole job. They report no places.
+    bool allKnowParts = true;
     for (const auto &it : m_dispatchers) {
         const bool hasPart = std::any_of(
             job.parts.begin(), job.parts.end(), [&it](const auto &part) { return part.second.dispatcher == it.first; });
         if (!hasPart && job.refusedBy.count(it.first) == 0 && canRun(it.second, request)) {
             candidates.push_back(candidate(it.first, it.second, request));
+            allKnowParts = allKnowParts && it.second.load.places.largestMilliCores() > 0;
         }
     }
     DivisionPolicy policy = m_policy.division;
     // A limit for each target, or steps that wait for each other, hold for the whole job.
-    const bool isDivisible = request.steps.size() == 1 && request.steps.front().perTargetLimit == 0;
+    const bool isDivisible = request.steps.size() == 1 && request.steps.front().perTargetLimit == 0 && allKnowParts;
     policy.maxParts = isDivisible ? policy.maxParts : 1;
     return divideTasks(totalTasks(request), candidates, policy);
 }
--- a/lib/Dispatch/TaskDivision.cpp
+++ b/lib/Dispatch/TaskDivision.cpp
@@ -11,15 +11,11 @@
 namespace
 {
 
-/// Prefers, among dispatchers with places, the one that has most left: reports are old by some statuses, and others
-/// send tasks there, too. Less than the price of a way to another zone.
-constexpr double kFullPlacesCostMs = 5;
-
 /// @returns the cost of adding a task to a dispatcher that already gets @p tasks.
-double costOfNext(const DivisionCandidate &candidate, std::uint32_t tasks)
+double costOfNext(const DivisionCandidate &candidate, std::uint32_t tasks, double fullPlacesCostMs)
 {
     const double used = candidate.places > 0 ? std::min(1.0, tasks / candidate.places) : 0;
-    return lastStartMs(candidate, tasks + 1) + used * kFullPlacesCostMs;
+    return lastStartMs(candidate, tasks + 1) + used * fullPlacesCostMs;
 }
 
 std::size_t bestWhole(std::uint32_t tasks, const std::vector<DivisionCandidate> &candidates)
@@ -58,7 +54,7 @@
             if (counts[i] == 0 && parts >= policy.maxParts) {
                 continue;
             }
-            const double cost = costOfNext(candidates[i], counts[i]);
+            const double cost = costOfNext(candidates[i], counts[i], policy.fullPlacesCostMs);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = i;
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -57,6 +57,10 @@
     if (!acquireLine(job.submitted)) {
         return;
     }
+    std::uint64_t tasks = 0;
+    for (const JobStep &it : job.steps) {
+        tasks += it.tasks;
+    }
     writeLog(LogLevel::Info,
              "job routed",
              { { "job", job.id.value },
@@ -65,7 +69,9 @@
                { "priority", std::uint64_t { job.priority } },
                { "left_ms", milliseconds(job.deadline - job.submitted) },
                { "config", version.value },
-               { "dispatcher", dispatcher.value } });
+               { "dispatcher", dispatcher.value },
+               { "tasks", tasks },
+               { "first_task", std::uint64_t { job.steps.front().firstTask } } });
 }
 
 void DecisionLog::jobAnswered(
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -68,6 +68,14 @@
 
 static bool isWellFormed(const JobRequest &request)
 {
+    // Well above the tasks of any caller's job; a larger number would only exhaust memory.
+    constexpr std::uint32_t kMaxTaskIndex = 100000;
+    const bool isTooLarge = std::any_of(request.steps.begin(), request.steps.end(), [](const JobStep &it) {
+        return it.tasks > kMaxTaskIndex || it.firstTask > kMaxTaskIndex;
+    });
+    if (isTooLarge) {
+        return false;
+    }
     for (std::size_t i = 0; i < request.steps.size(); ++i) {
         const auto &after = request.steps[i].predecessors;
         const bool precede = std::all_of(after.begin(), after.end(), [i](std::uint32_t it) { return it < i; });
@@ -163,7 +171,9 @@
     PlaceTable::Counts counts {};
     const auto sizes = std::min(counts.size(), static_cast<std::size_t>(message.places_size()));
     std::copy_n(message.places().begin(), sizes, counts.begin());
-    load.places = PlaceTable(load.largestMilliCores, counts);
+    if (sizes > 0) {
+        load.places = PlaceTable(load.largestMilliCores, counts);
+    }
     return load;
 }
 
--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -190,18 +190,17 @@
 {
 }
 
-void FakeFleet::addTargets(std::size_t count)
+void FakeFleet::addTargets(std::size_t count, const FleetShape &shape)
 {
-    constexpr double kSlowness[] = { 1.6, 1.0, 0.6 };
     for (std::size_t i = 0; i < count; ++i) {
         DispatchTarget target;
         target.name = TargetName("target-" + std::to_string(i));
         target.service = ServiceName("service");
         target.zone = ZoneName("zone");
-        target.capacity = { 32000, 65536, 0 };
+        target.capacity = { shape.milliCores[i % shape.milliCores.size()], 65536, 0 };
         target.incarnation = 1;
         const double clockRate = 1 - 0.02 * static_cast<double>(i % 2);
-        targets.emplace_back(target, kSlowness[i % 3], clockRate);
+        targets.emplace_back(target, shape.slowness[i % shape.slowness.size()], clockRate);
     }
 }
 
--- a/unittests/Dispatch/FakeFleet.h
+++ b/unittests/Dispatch/FakeFleet.h
@@ -103,13 +103,20 @@
     std::map<RunName, Instant> m_runStarts;
 };
 
+/// Which targets a fleet has; kinds follow each other by turns.
+struct FleetShape
+{
+    std::vector<double> slowness { 1.6, 1.0, 0.6 };
+    std::vector<std::uint32_t> milliCores { 32000 };
+};
+
 /// The simulated targets and the network in front of them.
 class FakeFleet
 {
 public:
     FakeFleet(EventQueue &queue, std::uint64_t seed);
 
-    void addTargets(std::size_t count);
+    void addTargets(std::size_t count, const FleetShape &shape = {});
     /// Registers a submitted task; starting an unregistered one is a violation.
     void registerTask(const TaskName &task, const ResourceDemand &demand, Duration work);
     /// @returns descriptions of the violated invariants.
--- a/unittests/Dispatch/JobRouterTest.cpp
+++ b/unittests/Dispatch/JobRouterTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(division_placesAtNone_tasksDivided);
     CPPUNIT_TEST(division_placesAtOne_jobWhole);
     CPPUNIT_TEST(division_limitPerTarget_jobWhole);
+    CPPUNIT_TEST(division_dispatcherOfEarlierVersion_jobWhole);
     CPPUNIT_TEST(division_allPartsComplete_answeredOnce);
     CPPUNIT_TEST(division_partFails_othersWithdrawn);
     CPPUNIT_TEST(division_partRefused_routedToThirdDispatcher);
@@ -216,6 +217,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_routed.size());
     }
 
+    void division_dispatcherOfEarlierVersion_jobWhole()
+    {
+        // It ignores the index of a part's first task, so two dispatchers would run the same tasks.
+        reportTwoHalves();
+        DispatcherLoad load;
+        load.targets = 16;
+        load.totalMilliCores = 512000;
+        load.largestMilliCores = 32000;
+        m_router->dispatcherReported(InstanceName("old"), ZoneName("zone"), load, m_now);
+        submit(1, 8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_routed.size());
+    }
+
     void division_allPartsComplete_answeredOnce()
     {
         submitDivided();
--- a/unittests/Dispatch/LoadedZone.h
+++ b/unittests/Dispatch/LoadedZone.h
@@ -20,6 +20,16 @@
     double perSecond; ///< Arrival rate in a zone of 16 targets at the users' load.
 };
 
+/// Tasks of a load, and the targets that run them.
+struct LoadShape
+{
+    FleetShape fleet;
+    std::uint32_t minMilliCores = 11000; ///< Demand of a task.
+    std::uint32_t milliCoresRange = 6000;
+    double longShare = 0; ///< Share of jobs that take longFactor times as long as their estimates tell.
+    double longFactor = 1;
+};
+
 constexpr JobType kUrgentWide { 0, 8, std::chrono::milliseconds(60), 11.5 };
 constexpr JobType kShort { 1, 2, std::chrono::milliseconds(200), 33.3 };
 constexpr JobType kLong { 2, 4, std::chrono::milliseconds(900), 2.1 };
@@ -41,13 +51,14 @@
         Duration longestToRefusal {};
     };
 
-    explicit LoadedZone(std::uint64_t seed, std::size_t targets = 16)
+    explicit LoadedZone(std::uint64_t seed, std::size_t targets = 16, LoadShape shape = {})
         : fleet(queue, seed)
+        , m_shape(std::move(shape))
         , m_commands(fleet, queue)
         , dispatcher(DispatcherPolicy(), m_commands, *this)
     {
         m_commands.dispatcher = &dispatcher;
-        fleet.addTargets(targets);
+        fleet.addTargets(targets, m_shape.fleet);
         for (const FakeTarget &it : fleet.targets) {
             dispatcher.targetOwned(it.description, FencingToken(1), queue.now());
         }
@@ -106,6 +117,7 @@
     FakeFleet fleet;
 
 private:
+    LoadShape m_shape;
     FakeTargetCommands m_commands;
 
 public:
@@ -147,9 +159,13 @@
         request.deadline = queue.now() + std::chrono::milliseconds(3500);
         JobStep step;
         step.tasks = std::max(1U, static_cast<std::uint32_t>(std::lround(type.meanTasks * spread(fleet.random))));
-        step.demand = { 11000 + static_cast<std::uint32_t>(drawBelow(fleet.random, 6000)), 64, 0 };
-        const auto work = std::chrono::duration_cast<Duration>(type.work * spread(fleet.random));
+        const auto extra = static_cast<std::uint32_t>(drawBelow(fleet.random, m_shape.milliCoresRange));
+        step.demand = { m_shape.minMilliCores + extra, 64, 0 };
+        auto work = std::chrono::duration_cast<Duration>(type.work * spread(fleet.random));
         step.estimate = std::chrono::duration_cast<Duration>(work * spread(fleet.random));
+        if (m_shape.longShare > 0 && std::uniform_real_distribution<double>(0, 1)(fleet.random) < m_shape.longShare) {
+            work = std::chrono::duration_cast<Duration>(work * m_shape.longFactor);
+        }
         request.steps.push_back(step);
         for (std::uint32_t i = 0; i < step.tasks; ++i) {
             fleet.registerTask({ request.id, 0, i }, step.demand, work);
--- a/unittests/Dispatch/TaskDivisionTest.cpp
+++ b/unittests/Dispatch/TaskDivisionTest.cpp
@@ -105,7 +105,9 @@
 
     void division_smallGain_whole()
     {
-        const auto shares = divideTasks(8, { make("a", 0, 7, 0, 5), make("b", 0, 7, 0, 5) }, {});
+        DivisionPolicy policy;
+        policy.minGainMs = 10;
+        const auto shares = divideTasks(8, { make("a", 0, 7, 0, 5), make("b", 0, 7, 0, 5) }, policy);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, shares.size());
     }
 
--- a/unittests/Node/PeerLinkTest.cpp
+++ b/unittests/Node/PeerLinkTest.cpp
@@ -178,22 +178,23 @@
 
     void job_malformedSteps_refused()
     {
-        // A step without tasks, or one that waits for itself, would crash the dispatcher.
+        // A step without tasks, one that waits for itself, or one with billions of tasks would crash the dispatcher.
         sendStatusUntil(std::chrono::milliseconds(50), [this] { return m_events.statuses > 0; });
-        for (const bool hasTasks : { false, true }) {
+        constexpr std::uint32_t kSelfReference = 1;
+        for (const std::uint32_t tasks : { 0U, kSelfReference, 4000000000U }) {
             schema::PeerMessage message;
             auto &job = *message.mutable_dispatch_job();
             job.set_ticket(8);
             job.set_id("job");
             job.set_left_us(1000000);
             auto &step = *job.add_steps();
-            step.set_tasks(hasTasks ? 1 : 0);
-            if (hasTasks) {
+            step.set_tasks(tasks);
+            if (tasks == kSelfReference) {
                 step.add_after(0);
             }
             m_peer->send(InstanceName("a"), message);
         }
-        EventLoop::waitFor([this] { return m_handler.ends.size() == 2; });
+        EventLoop::waitFor([this] { return m_handler.ends.size() == 3; });
         for (const auto &it : m_handler.ends) {
             CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(JobOutcome::Refused), it.outcome());
             CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(JobEndReason::Malformed), it.reason());
