--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -1,6 +1,6 @@
 /// @file
-/// Implementation class of the dispatcher. Jobs and admission control are in Dispatcher.cpp, runs in
-/// DispatcherRuns.cpp, targets in DispatcherTargets.cpp.
+/// Implementation class of the dispatcher. Jobs and admission control are in Dispatcher.cpp, planned stops and
+/// evacuations in DispatcherClosing.cpp, runs in DispatcherRuns.cpp, targets in DispatcherTargets.cpp.
 #pragma once
 
 #include "JobTable.h"
