Owners: no more than a zone has shards

Change: PeerSelectionPolicy::maxZoneOwners, set from the number of shards, limits the plan of owners and the candidates. Test: ownerPlan_fewerShardsThanOwnersNeeded_shardsLimitOwners (the plan said 21 before).

--- a/include/eelgrasscleat/Dispatch/PeerSelector.h
+++ b/include/eelgrasscleat/Dispatch/PeerSelector.h
@@ -24,6 +24,8 @@
     /// with all candidates and owners of its zone.
     std::size_t minZoneCandidates = 4;
     std::size_t spareZoneCandidates = 2;
+    /// Maximum number of owners of a zone: its targets are divided into this many shards.
+    std::size_t maxZoneOwners = SIZE_MAX;
     /// Sessions of any other instance with candidates, from which it learns of the zone's owners.
     std::size_t watchedCandidates = 4;
     /// Sessions with owners of the zone for jobs.
--- a/lib/Dispatch/PeerSelector.cpp
+++ b/lib/Dispatch/PeerSelector.cpp
@@ -154,7 +154,10 @@
     if (!isSelfAdded) {
         capacities.push_back(m_self.capacity);
     }
-    return planOwners(capacities, m_zoneTargets);
+    OwnerPlan plan = planOwners(capacities, m_zoneTargets);
+    // Further owners would get no shard.
+    plan.owners = std::min(plan.owners, m_policy.maxZoneOwners);
+    return plan;
 }
 
 std::size_t PeerSelector::candidateCount() const
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -27,6 +27,13 @@
                                                         + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+static PeerSelectionPolicy selectionPolicy(const NodeSettings &settings)
+{
+    PeerSelectionPolicy policy;
+    policy.maxZoneOwners = settings.shards;
+    return policy;
+}
+
 DispatchNode::Impl::Impl(const NodeSettings &settings, TargetCommands &commands, Metrics &metrics, std::uint64_t random)
     : m_settings(settings)
     , m_log(metrics)
@@ -35,7 +42,7 @@
     , m_ownership(settings.ownership)
     , m_evacuations(settings.self.zone, settings.evacuationGrace)
     , m_targets(settings.targetRemovalGrace)
-    , m_peerLink(settings.self, IncarnationId(random), *this, settings.isBootstrap)
+    , m_peerLink(settings.self, IncarnationId(random), *this, settings.isBootstrap, selectionPolicy(settings))
 {
     m_advanceTimer.setInterval(kAdvanceInterval);
     QObject::connect(&m_advanceTimer, &QTimer::timeout, &m_advanceTimer, [this] {
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -46,12 +46,16 @@
     return static_cast<std::uint64_t>(instant.time_since_epoch().count());
 }
 
-PeerLink::PeerLink(InstanceRegistration self, IncarnationId incarnation, PeerEventHandler &events, bool isBootstrap)
+PeerLink::PeerLink(InstanceRegistration self,
+                   IncarnationId incarnation,
+                   PeerEventHandler &events,
+                   bool isBootstrap,
+                   const PeerSelectionPolicy &policy)
     : m_isSettled(!isBootstrap)
     , m_self(std::move(self))
     , m_events(events)
     , m_network(*this, PeerId { m_self.name, incarnation }, {}, kPeerTiming)
-    , m_selector({}, { m_self.name, m_self.zone, m_self.capacity }, incarnation.value)
+    , m_selector(policy, { m_self.name, m_self.zone, m_self.capacity }, incarnation.value)
 {
 }
 
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -57,7 +57,11 @@
 {
 public:
     /// @param isBootstrap whether the whole deployment starts for the first time
-    PeerLink(InstanceRegistration self, IncarnationId incarnation, PeerEventHandler &events, bool isBootstrap = false);
+    PeerLink(InstanceRegistration self,
+             IncarnationId incarnation,
+             PeerEventHandler &events,
+             bool isBootstrap = false,
+             const PeerSelectionPolicy &policy = {});
 
     Result<Done> start();
     /// Adds an instance, or updates its address.
--- a/unittests/Dispatch/PeerSelectorTest.cpp
+++ b/unittests/Dispatch/PeerSelectorTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(selection_stalledInstance_triesAllAgain);
     CPPUNIT_TEST(selection_ownersNotListed_fewerOwnersKnown);
     CPPUNIT_TEST(ownersListed_ownStatusDenies_ignored);
+    CPPUNIT_TEST(ownerPlan_fewerShardsThanOwnersNeeded_shardsLimitOwners);
     CPPUNIT_TEST(evacuation_ownZone_moreOwnersElsewhere);
     CPPUNIT_TEST(evacuation_otherZone_itsOwnersNotDrawn);
     CPPUNIT_TEST_SUITE_END();
@@ -238,6 +239,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, selector.knownZoneOwners(m_now));
     }
 
+    void ownerPlan_fewerShardsThanOwnersNeeded_shardsLimitOwners()
+    {
+        // 1,000 targets need 21 owners. Those beyond the shards would join, get nothing, leave and join again, and each
+        // change of the members moves shards.
+        PeerSelectionPolicy policy;
+        policy.maxZoneOwners = 16;
+        PeerSelector selector(policy, { InstanceName("self"), ZoneName("zone"), {} }, 1);
+        for (int i = 0; i < 40; ++i) {
+            selector.add({ InstanceName("peer-" + std::to_string(i)), ZoneName("zone"), { 500, 200000 } });
+        }
+        selector.setZoneTargets(1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 16 }, selector.ownerPlan().owners);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 18 }, selector.firstCandidates().size());
+    }
+
     void evacuation_ownZone_moreOwnersElsewhere()
     {
         const PeerSelectionPolicy policy;
