--- a/include/eelgrasscleat/Dispatch/EvacuationView.h
+++ b/include/eelgrasscleat/Dispatch/EvacuationView.h
@@ -27,9 +27,8 @@
 {
 public:
     /// @param ownZone availability zone of this instance, in which it may own targets
-    /// @param startGrace how long after it learns of the evacuation of its zone this instance starts the remaining
-    /// tasks
-    ///                   of jobs that have begun there
+    /// @param startGrace how long this instance goes on starting tasks of jobs that have begun in its zone, once it has
+    /// learned of the evacuation
     EvacuationView(ZoneName ownZone, Duration startGrace);
 
     /// Replaces all evacuations if @p zones is newer. @returns whether the set of evacuated zones changed.
