Dispatch: lost targets and crashes in the log, by task

CrashHistory records the runs at work on a lost target, and learns from reports and from the list of targets whether the target has crashed; nothing is decided by it yet.

Ruled out: connection refused as evidence, since a partition may refuse connections, too.

--- /dev/null
+++ b/include/eelgrasscleat/Dispatch/CrashHistory.h
@@ -0,0 +1,155 @@
+/// @file
+/// Attributes crashes of targets to the tasks that were at work on them, and decides whether such a task may start
+/// again. Answers the load of tasks that crash each target they run on. Contains no clock, thread or socket.
+#pragma once
+
+#include <eelgrasscleat/Dispatch/JobTypes.h>
+#include <eelgrasscleat/Dispatch/TargetCommands.h>
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Eelgrasscleat
+{
+
+/// One life of a target. A crash ends it.
+struct TargetLife
+{
+    TargetName name;
+    std::uint64_t incarnation = 0; ///< 0 if unknown.
+    auto operator<=>(const TargetLife &) const = default;
+    bool operator==(const TargetLife &) const = default;
+};
+
+/// A task that was at work on a target when the target was lost.
+struct CrashSuspect
+{
+    TaskName task;
+    /// Was among the tasks started last, which are the most likely cause: they had not proven harmless yet.
+    bool startedLast = false;
+    bool operator==(const CrashSuspect &) const = default;
+};
+
+/// A crash that is attributed to the tasks at work on the target.
+struct TargetCrash
+{
+    TargetLife target;
+    std::vector<CrashSuspect> suspects;
+    bool operator==(const TargetCrash &) const = default;
+};
+
+/// Thresholds of a crash history.
+struct CrashPolicy
+{
+    /// A task is given up after this many crashes for which it was started last.
+    std::uint32_t maxCrashesStartedLast = 2;
+    /// A task is given up after this many crashes in any case.
+    std::uint32_t maxCrashes = 3;
+    /// A task isn't started again after it has lost its target this often, whatever the causes.
+    std::uint32_t maxLosses = 4;
+    /// A lost target that is neither back nor replaced after this time counts as lost for another cause, such as a
+    /// network partition.
+    Duration resolveTime = std::chrono::seconds(5);
+    /// Losses are kept for this long, so that a resubmission of the job meets them.
+    Duration retention = std::chrono::seconds(120);
+    /// Runs started within this time of the latest one count as started last, too: starts sent together may arrive in
+    /// any order.
+    Duration startOrderTolerance = std::chrono::milliseconds(100);
+    /// Targets lost within this time of each other may have a common cause. Covers the time after which a silent target
+    /// is noticed.
+    Duration commonCauseWindow = std::chrono::milliseconds(500);
+    /// So many targets of one rack lost together have a common cause, such as a power failure, unless half of them ran
+    /// tasks of one job.
+    std::size_t commonCauseRackTargets = 3;
+    /// The same for targets of any racks.
+    std::size_t commonCauseTargets = 6;
+    /// Maximum number of remembered losses; bounds memory.
+    std::size_t maxRemembered = 4096;
+};
+
+/// Whether and how a task may start.
+enum class StartAdvice
+{
+    Start,
+    Isolate, ///< May crash its target: to be started apart from other tasks.
+    Wait, ///< Not before it is known why its targets were lost.
+    GiveUp, ///< The task crashes its targets.
+};
+
+class CrashHistory
+{
+public:
+    /// A run that was at work on a lost target.
+    struct RunAtWork
+    {
+        TaskName task;
+        Instant startedAt;
+    };
+
+    explicit CrashHistory(const CrashPolicy &policy = {});
+
+    /// A target stopped answering while @p runs may have been at work on it.
+    /// @param incarnation the life of the target that was lost; its description may be older or newer
+    void targetLost(const DispatchTarget &target,
+                    std::uint64_t incarnation,
+                    const std::vector<RunAtWork> &runs,
+                    Instant now);
+    /// A lost target answers again.
+    /// @param incarnation its present life
+    /// @returns the crash, if that is another life than the lost one and the crash is attributed to tasks.
+    std::optional<TargetCrash> targetAnswered(const TargetName &target, std::uint64_t incarnation, Instant now);
+    /// The list of targets has an entry. A later life at the address of a lost target shows that the target has
+    /// crashed.
+    /// @returns the crash, if it is attributed to tasks.
+    std::optional<TargetCrash> targetListed(const DispatchTarget &target, Instant now);
+    /// Another life of the target answers at its address.
+    /// @returns the crash, if the target was lost and the crash is attributed to tasks.
+    std::optional<TargetCrash> targetReplaced(const TargetName &target, Instant now);
+    /// Another instance has attributed a crash, or this one in an earlier life.
+    /// @returns whether the crash was not known.
+    bool learn(const TargetCrash &crash, Instant now);
+
+    [[nodiscard]] StartAdvice advice(const TaskName &task, Instant now) const;
+    /// @returns the number of crashes attributed to the task.
+    [[nodiscard]] std::uint32_t crashes(const TaskName &task) const;
+    /// Forgets losses after their retention.
+    /// @returns the targets of forgotten crashes.
+    std::vector<TargetLife> advance(Instant now);
+
+private:
+    enum class Cause
+    {
+        Unknown,
+        Crash,
+        Other,
+    };
+
+    struct Loss
+    {
+        std::string address;
+        std::string rack;
+        Instant lostAt {};
+        Instant recordedAt {};
+        Cause cause = Cause::Unknown;
+        std::vector<CrashSuspect> suspects;
+    };
+
+    using Losses = std::map<TargetLife, Loss>;
+
+    std::optional<TargetCrash> confirmCrash(const TargetLife &life, Loss &loss, Instant now);
+    [[nodiscard]] bool hasCommonCause(const Loss &loss) const;
+    void add(const TargetLife &life, Loss loss);
+    Losses::iterator remove(Losses::iterator it);
+    Losses::iterator findOpen(const TargetName &target);
+
+    CrashPolicy m_policy;
+    Losses m_losses;
+    std::map<TaskName, std::vector<TargetLife>> m_byTask;
+};
+
+} // namespace Eelgrasscleat
--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <eelgrasscleat/Dispatch/CommandPacer.h>
+#include <eelgrasscleat/Dispatch/CrashHistory.h>
 #include <eelgrasscleat/Dispatch/JobTypes.h>
 #include <eelgrasscleat/Dispatch/PlaceTable.h>
 #include <eelgrasscleat/Dispatch/TargetCommands.h>
@@ -44,6 +45,8 @@
     Duration idleInspectInterval = std::chrono::seconds(10);
     /// A late result is still useful up to this multiple of the latency objective.
     double maxLatenessFactor = 3;
+    /// When crashes of targets are attributed to a task, and when it is given up.
+    CrashPolicy crashes;
     /// Maximum number of queued tasks; further jobs are refused. Bounds memory: a task takes about 100 bytes.
     std::uint32_t maxQueuedTasks = 20000;
 };
@@ -93,6 +96,8 @@
     virtual void runDecided(std::string_view decision, const RunName &run, const TargetName &target, double detail) = 0;
     /// A target has seen a higher token: another instance now owns the targets that were owned under @p token.
     virtual void tokenFenced(FencingToken token, const TargetName &target) = 0;
+    /// A target has crashed with tasks at work on it.
+    virtual void targetCrashed(const TargetCrash &crash) = 0;
     /// The dispatcher's view of a target changed. For logs and counters.
     virtual void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail) = 0;
 };
@@ -110,6 +115,9 @@
     void targetOwned(const DispatchTarget &target, FencingToken token, Instant now);
     /// The target is no longer owned or no longer exists. Jobs that have runs on it are abandoned.
     void targetReleased(const TargetName &target, Instant now);
+    /// The list of targets has an entry of the zone, whoever owns the target. It may show that an owned target has
+    /// crashed.
+    void targetListed(const DispatchTarget &target, Instant now);
     /// Sets whether new runs may start on the target; false during a handover.
     void setAccepting(const TargetName &target, bool accepting);
     /// @returns whether no run can be active on the target.
--- /dev/null
+++ b/lib/Dispatch/CrashHistory.cpp
@@ -0,0 +1,232 @@
+/// @file
+/// Losses of targets, their causes, and the tasks that were at work.
+#include <eelgrasscleat/Dispatch/CrashHistory.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Eelgrasscleat
+{
+
+CrashHistory::CrashHistory(const CrashPolicy &policy)
+    : m_policy(policy)
+{
+}
+
+void CrashHistory::add(const TargetLife &life, Loss loss)
+{
+    if (m_losses.size() >= m_policy.maxRemembered) {
+        const auto oldest = std::min_element(m_losses.begin(), m_losses.end(), [](const auto &a, const auto &b) {
+            return a.second.recordedAt < b.second.recordedAt;
+        });
+        remove(oldest);
+    }
+    for (const CrashSuspect &it : loss.suspects) {
+        m_byTask[it.task].push_back(life);
+    }
+    m_losses.insert_or_assign(life, std::move(loss));
+}
+
+CrashHistory::Losses::iterator CrashHistory::remove(Losses::iterator it)
+{
+    for (const CrashSuspect &suspect : it->second.suspects) {
+        const auto task = m_byTask.find(suspect.task);
+        if (task == m_byTask.end()) {
+            continue;
+        }
+        std::erase(task->second, it->first);
+        if (task->second.empty()) {
+            m_byTask.erase(task);
+        }
+    }
+    return m_losses.erase(it);
+}
+
+CrashHistory::Losses::iterator CrashHistory::findOpen(const TargetName &target)
+{
+    for (auto it = m_losses.lower_bound(TargetLife { target, 0 }); it != m_losses.end(); ++it) {
+        if (it->first.name != target) {
+            break;
+        }
+        if (it->second.cause != Cause::Crash) {
+            return it;
+        }
+    }
+    return m_losses.end();
+}
+
+void CrashHistory::targetLost(const DispatchTarget &target,
+                              std::uint64_t incarnation,
+                              const std::vector<RunAtWork> &runs,
+                              Instant now)
+{
+    const TargetLife life { target.name, incarnation };
+    if (runs.empty() || m_losses.count(life) > 0) {
+        return;
+    }
+    Instant latest {};
+    for (const RunAtWork &it : runs) {
+        latest = std::max(latest, it.startedAt);
+    }
+    Loss loss;
+    loss.address = target.address;
+    loss.rack = target.rack;
+    loss.lostAt = now;
+    loss.recordedAt = now;
+    for (const RunAtWork &it : runs) {
+        loss.suspects.push_back({ it.task, latest - it.startedAt <= m_policy.startOrderTolerance });
+    }
+    add(life, std::move(loss));
+}
+
+std::optional<TargetCrash>
+CrashHistory::targetAnswered(const TargetName &target, std::uint64_t incarnation, Instant now)
+{
+    const auto it = findOpen(target);
+    if (it == m_losses.end()) {
+        return std::nullopt;
+    }
+    if (it->first.incarnation == incarnation || incarnation == 0) {
+        remove(it);
+        return std::nullopt;
+    }
+    return confirmCrash(it->first, it->second, now);
+}
+
+std::optional<TargetCrash> CrashHistory::targetListed(const DispatchTarget &target, Instant now)
+{
+    for (auto &it : m_losses) {
+        const bool isSamePlace = it.first.name == target.name || it.second.address == target.address;
+        const bool isLater = it.first.incarnation != 0 && target.incarnation > it.first.incarnation;
+        if (it.second.cause == Cause::Unknown && isSamePlace && isLater) {
+            return confirmCrash(it.first, it.second, now);
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<TargetCrash> CrashHistory::targetReplaced(const TargetName &target, Instant now)
+{
+    const auto it = findOpen(target);
+    return it == m_losses.end() ? std::nullopt : confirmCrash(it->first, it->second, now);
+}
+
+std::optional<TargetCrash> CrashHistory::confirmCrash(const TargetLife &life, Loss &loss, Instant now)
+{
+    if (loss.cause != Cause::Unknown || hasCommonCause(loss)) {
+        loss.cause = Cause::Other;
+        return std::nullopt;
+    }
+    loss.cause = Cause::Crash;
+    loss.recordedAt = now;
+    return TargetCrash { life, loss.suspects };
+}
+
+/// A job that had tasks on half of the targets lost together may have crashed them, however many they are.
+bool CrashHistory::hasCommonCause(const Loss &loss) const
+{
+    std::size_t rackTargets = 0;
+    std::size_t targets = 0;
+    std::map<JobId, std::size_t> targetsOfJob;
+    for (const auto &it : m_losses) {
+        const Loss &other = it.second;
+        const Duration gap = other.lostAt > loss.lostAt ? other.lostAt - loss.lostAt : loss.lostAt - other.lostAt;
+        if (other.address.empty() || gap > m_policy.commonCauseWindow) {
+            continue;
+        }
+        ++targets;
+        rackTargets += !loss.rack.empty() && other.rack == loss.rack ? 1 : 0;
+        std::set<JobId> jobs;
+        for (const CrashSuspect &suspect : other.suspects) {
+            jobs.insert(suspect.task.job);
+        }
+        for (const JobId &job : jobs) {
+            ++targetsOfJob[job];
+        }
+    }
+    if (rackTargets < m_policy.commonCauseRackTargets && targets < m_policy.commonCauseTargets) {
+        return false;
+    }
+    return std::none_of(loss.suspects.begin(), loss.suspects.end(), [&](const CrashSuspect &it) {
+        return 2 * targetsOfJob[it.task.job] >= targets;
+    });
+}
+
+bool CrashHistory::learn(const TargetCrash &crash, Instant now)
+{
+    const auto it = m_losses.find(crash.target);
+    if (it != m_losses.end()) {
+        const bool isNew = it->second.cause != Cause::Crash;
+        it->second.cause = Cause::Crash;
+        return isNew;
+    }
+    Loss loss;
+    loss.recordedAt = now;
+    loss.cause = Cause::Crash;
+    loss.suspects = crash.suspects;
+    add(crash.target, std::move(loss));
+    return true;
+}
+
+std::uint32_t CrashHistory::crashes(const TaskName &task) const
+{
+    const auto lives = m_byTask.find(task);
+    if (lives == m_byTask.end()) {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(
+        std::count_if(lives->second.begin(), lives->second.end(), [this](const TargetLife &it) {
+            return m_losses.at(it).cause == Cause::Crash;
+        }));
+}
+
+StartAdvice CrashHistory::advice(const TaskName &task, Instant now) const
+{
+    const auto lives = m_byTask.find(task);
+    if (lives == m_byTask.end()) {
+        return StartAdvice::Start;
+    }
+    std::uint32_t crashes = 0;
+    std::uint32_t crashesStartedLast = 0;
+    std::uint32_t open = 0;
+    std::uint32_t openStartedLast = 0;
+    bool startedLastEver = false;
+    for (const TargetLife &it : lives->second) {
+        const Loss &loss = m_losses.at(it);
+        const bool startedLast = std::any_of(loss.suspects.begin(), loss.suspects.end(), [&task](const auto &suspect) {
+            return suspect.task == task && suspect.startedLast;
+        });
+        const bool isOpen = loss.cause == Cause::Unknown && now - loss.lostAt < m_policy.resolveTime;
+        crashes += loss.cause == Cause::Crash ? 1 : 0;
+        crashesStartedLast += loss.cause == Cause::Crash && startedLast ? 1 : 0;
+        open += isOpen ? 1 : 0;
+        openStartedLast += isOpen && startedLast ? 1 : 0;
+        startedLastEver = startedLastEver || startedLast;
+    }
+    if (crashes >= m_policy.maxCrashes || crashesStartedLast >= m_policy.maxCrashesStartedLast) {
+        return StartAdvice::GiveUp;
+    }
+    if (crashes + open >= m_policy.maxCrashes || crashesStartedLast + openStartedLast >= m_policy.maxCrashesStartedLast
+        || lives->second.size() >= m_policy.maxLosses) {
+        return StartAdvice::Wait;
+    }
+    return startedLastEver ? StartAdvice::Isolate : StartAdvice::Start;
+}
+
+std::vector<TargetLife> CrashHistory::advance(Instant now)
+{
+    std::vector<TargetLife> forgotten;
+    for (auto it = m_losses.begin(); it != m_losses.end();) {
+        if (now - it->second.recordedAt < m_policy.retention) {
+            ++it;
+            continue;
+        }
+        if (it->second.cause == Cause::Crash) {
+            forgotten.push_back(it->first);
+        }
+        it = remove(it);
+    }
+    return forgotten;
+}
+
+} // namespace Eelgrasscleat
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -302,6 +302,7 @@
     std::erase_if(m_recentJobs, [&](const auto &it) {
         return it.second.stoppingRuns == 0 && now - it.second.lastUsedAt > kRecentJobRetention;
     });
+    m_crashes.advance(now);
     placeWaiting(now);
 }
 
@@ -361,6 +362,12 @@
     m_impl->targetReleased(target, now);
 }
 
+void Dispatcher::targetListed(const DispatchTarget &target, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->targetListed(target, now);
+}
+
 void Dispatcher::setAccepting(const TargetName &target, bool accepting)
 {
     const auto it = m_impl->m_targets.find(target);
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -1,6 +1,7 @@
 /// @file
 /// Implementation class of the dispatcher. Jobs and admission control are in Dispatcher.cpp, planned stops and
-/// evacuations in DispatcherClosing.cpp, runs in DispatcherRuns.cpp, targets in DispatcherTargets.cpp.
+/// evacuations in DispatcherClosing.cpp, runs in DispatcherRuns.cpp, targets in DispatcherTargets.cpp, lost targets in
+/// DispatcherCrashes.cpp.
 #pragma once
 
 #include "JobTable.h"
@@ -24,6 +25,7 @@
         , m_observer(observer)
         , m_selector(m_targets, m_health)
         , m_pacer(policy.commands)
+        , m_crashes(policy.crashes)
     {
     }
 
@@ -40,6 +42,7 @@
     // Targets and runs.
     void targetOwned(const DispatchTarget &target, FencingToken token, Instant now);
     void targetReleased(const TargetName &target, Instant now);
+    void targetListed(const DispatchTarget &target, Instant now);
     void startAnswered(const TargetName &name, const RunName &run, const CommandResult &result, Instant now);
     void stopAnswered(const TargetName &name, const RunName &run, const CommandResult &result, Instant now);
     void inspected(const TargetName &name,
@@ -106,6 +109,9 @@
     void inspect(OwnedTarget &target, Instant now);
     void checkProgress(OwnedTarget &target, Instant now);
     void applyReportChanges(OwnedTarget &target, const ReportChanges &changes, Instant now);
+    void recordLoss(OwnedTarget &target, Instant now);
+    void recordRestart(OwnedTarget &target, const ReportChanges &changes, Instant now);
+    void crashAttributed(const std::optional<TargetCrash> &crash, Instant now);
     [[nodiscard]] Instant oldestHomeContact(const OwnedTarget &target, Instant now) const;
     [[nodiscard]] OwnedTarget *find(const TargetName &name);
 
@@ -115,6 +121,7 @@
     HealthTracker m_health;
     TargetSelector m_selector;
     CommandPacer m_pacer;
+    CrashHistory m_crashes;
     std::map<InstanceName, Instant> m_homes; ///< Time of the last message from each home instance.
     std::map<JobId, RecentJob> m_recentJobs;
     std::uint64_t m_lastInspection = 0;
--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -160,6 +160,10 @@
     }
     tracker.acknowledged = changes.restarted ? 0 : acknowledged;
     tracker.inspected = true;
+    if (changes.restarted) {
+        recordRestart(*target, changes, now);
+    }
+    crashAttributed(m_crashes.targetAnswered(name, tracker.incarnation(), now), now);
     applyReportChanges(*target, changes, now);
     checkProgress(*target, now);
     placeWaiting(now);
@@ -226,12 +230,15 @@
         return;
     }
     if (result.status == CommandStatus::IncarnationMismatch) {
+        recordLoss(*target, now);
+        crashAttributed(m_crashes.targetReplaced(name, now), now);
         abandonRuns(*target, now);
         tracker.inspected = false;
         return;
     }
     if (tracker.reachable) {
         m_observer.targetChanged("unreachable", name, tracker.failures);
+        recordLoss(*target, now);
     }
     tracker.reachable = false;
 }
--- a/lib/Dispatch/TargetTracker.cpp
+++ b/lib/Dispatch/TargetTracker.cpp
@@ -75,6 +75,7 @@
 void TargetTracker::restart(Instant sentAt, ReportChanges &changes)
 {
     changes.restarted = true;
+    changes.previousIncarnation = m_incarnation;
     std::map<RunName, TrackedRun> remaining;
     for (auto &it : m_runs) {
         const bool isUncertain = it.second.state != RunState::Running || it.second.startedAt >= sentAt;
--- a/lib/Dispatch/TargetTracker.h
+++ b/lib/Dispatch/TargetTracker.h
@@ -70,6 +70,7 @@
     std::vector<RunName> unknown; ///< Running, but not started by this owner; tracked as stopping from now on.
     std::vector<RunName> uncertain; ///< The target has restarted, and its new incarnation may run them.
     bool restarted = false; ///< The target has restarted; no run of its previous incarnation is active.
+    std::uint64_t previousIncarnation = 0; ///< If it has restarted.
 };
 
 /// Tracks one target.
@@ -124,6 +125,11 @@
     {
         return m_token;
     }
+    /// @returns the latest incarnation that has reported, or else the listed one.
+    [[nodiscard]] std::uint64_t incarnation() const
+    {
+        return m_incarnation;
+    }
     [[nodiscard]] const std::map<RunName, TrackedRun> &runs() const
     {
         return m_runs;
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -20,10 +20,14 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+std::string formatTask(const TaskName &task)
+{
+    return task.job.value + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
+}
+
 std::string formatRun(const RunName &run)
 {
-    return run.task.job.value + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + '/'
-        + std::to_string(run.run);
+    return formatTask(run.task) + '/' + std::to_string(run.run);
 }
 
 } // namespace
@@ -144,6 +148,22 @@
     }
 }
 
+/// Each suspect gets a line, so that the crashes under a task are found by its name.
+void DecisionLog::targetCrashed(const TargetCrash &crash, Instant now)
+{
+    targetChanged("crashed", crash.target.name, crash.suspects.size(), now);
+    for (const CrashSuspect &it : crash.suspects) {
+        if (acquireLine(now)) {
+            writeLog(LogLevel::Info,
+                     "task at work when its target crashed",
+                     { { "task", formatTask(it.task) },
+                       { "target", crash.target.name.value },
+                       { "started_last", std::uint64_t { it.startedLast ? 1U : 0U } },
+                       { "suspects", std::uint64_t { crash.suspects.size() } } });
+        }
+    }
+}
+
 void DecisionLog::recordEvent(std::string_view event, std::initializer_list<LogField> fields)
 {
     m_metrics.counter("eelgrasscleat_changes_total", "what", event, "Changed beliefs about the surroundings")
--- a/lib/Node/DecisionLog.h
+++ b/lib/Node/DecisionLog.h
@@ -28,6 +28,7 @@
     void
     runDecided(std::string_view decision, const RunName &run, const TargetName &target, double detail, Instant now);
     void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail, Instant now);
+    void targetCrashed(const TargetCrash &crash, Instant now);
     /// Logs and counts a change in the state of the instance or its environment, without rate limit.
     /// @param event log message and metric label
     void recordEvent(std::string_view event, std::initializer_list<LogField> fields);
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -341,6 +341,7 @@
     if (!m_targets.set(target)) {
         return;
     }
+    m_dispatcher.targetListed(target, m_now);
     assignTargetIfOwned(target);
     runDeferredCalls();
 }
@@ -355,6 +356,9 @@
 {
     beginEvent();
     m_targets.replace(targets, m_now);
+    for (const DispatchTarget &it : targets) {
+        m_dispatcher.targetListed(it, m_now);
+    }
     m_log.recordEvent("targets listed", { { "targets", std::uint64_t { targets.size() } } });
     assignOwnedTargets();
     runDeferredCalls();
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -79,6 +79,7 @@
     void jobTooLate(const JobId &id, const LatenessEstimate &estimate) override;
     void runDecided(std::string_view decision, const RunName &run, const TargetName &target, double detail) override;
     void tokenFenced(FencingToken token, const TargetName &target) override;
+    void targetCrashed(const TargetCrash &crash) override;
     void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail) override;
 
 private:
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -178,6 +178,11 @@
     });
 }
 
+void DispatchNode::Impl::targetCrashed(const TargetCrash &crash)
+{
+    m_log.targetCrashed(crash, m_now);
+}
+
 void DispatchNode::Impl::targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail)
 {
     m_log.targetChanged(change, target, detail, m_now);
--- a/unittests/Dispatch/LostCommandsTest.cpp
+++ b/unittests/Dispatch/LostCommandsTest.cpp
@@ -48,6 +48,9 @@
     void tokenFenced(FencingToken, const TargetName &) override
     {
     }
+    void targetCrashed(const TargetCrash &) override
+    {
+    }
     void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
     {
     }
