--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -3,6 +3,7 @@
 #include "FakeFleet.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace Eelgrasscleat
 {
@@ -197,6 +198,8 @@
         target.name = TargetName("target-" + std::to_string(i));
         target.service = ServiceName("service");
         target.zone = ZoneName("zone");
+        target.address = "10.0.0." + std::to_string(i) + ":80";
+        target.rack = "rack-" + std::to_string(i / shape.targetsPerRack);
         target.capacity = { shape.milliCores[i % shape.milliCores.size()], 65536, 0 };
         target.incarnation = 1;
         const double clockRate = 1 - 0.02 * static_cast<double>(i % 2);
@@ -209,6 +212,38 @@
     m_tasks[task] = { demand, work };
 }
 
+void FakeFleet::crash(FakeTarget &target)
+{
+    const TargetName before = target.description.name;
+    const std::string address = target.description.address;
+    target.restart(m_queue.now());
+    target.darkUntil = m_queue.now() + crashShape.downTime;
+    if (crashShape.changesName) {
+        target.description.name = TargetName(before.value + "+");
+    }
+    m_queue.after(crashShape.downTime, [this, before, address] {
+        const auto it = std::find_if(targets.begin(), targets.end(), [&address](const FakeTarget &returned) {
+            return returned.description.address == address;
+        });
+        if (onReturned) {
+            onReturned(before, it->description);
+        }
+    });
+}
+
+void FakeFleet::recordStart(Task &task, const RunName &run, FakeTarget &target)
+{
+    constexpr std::uint32_t kTolerated = 3;
+    m_startedJobs.insert(run.task.job);
+    if (task.crashedTargets >= kTolerated && ++task.startsAfterThreeCrashes == kTolerated) {
+        m_violations.push_back("started three times after three crashes: " + describe(run));
+    }
+    if (task.crashes) {
+        ++task.crashedTargets;
+        crash(target);
+    }
+}
+
 void FakeFleet::check()
 {
     std::map<TaskName, int> activeRuns;
@@ -227,6 +262,14 @@
     }
 }
 
+FakeTarget *FakeTargetCommands::findByAddress(const std::string &address)
+{
+    const auto it = std::find_if(m_fleet.targets.begin(), m_fleet.targets.end(), [&address](const FakeTarget &target) {
+        return target.description.address == address;
+    });
+    return it == m_fleet.targets.end() ? nullptr : &*it;
+}
+
 FakeTarget *FakeTargetCommands::find(const TargetName &name)
 {
     const auto it = std::find_if(m_fleet.targets.begin(), m_fleet.targets.end(), [&name](const FakeTarget &target) {
@@ -255,7 +298,7 @@
 }
 
 void FakeTargetCommands::transmit(const std::function<CommandResult(FakeTarget &)> &command,
-                                  const TargetName &target,
+                                  const TargetAddress &target,
                                   double bytes,
                                   Duration responseTimeout,
                                   std::function<void(const CommandResult &)> respond)
@@ -273,21 +316,28 @@
         }
     };
     m_queue.after(responseTimeout, [endOnce] { endOnce({}); });
-    const auto execute = [this, command, target]() -> CommandResult {
-        FakeTarget *found = find(target);
-        const CommandResult result = found != nullptr ? command(*found) : CommandResult {};
+    // Returns nothing if the target doesn't answer.
+    const auto execute = [this, command, target]() -> std::optional<CommandResult> {
+        FakeTarget *found = findByAddress(target.address);
+        if (found == nullptr || found->isCutOff || found->darkUntil > m_queue.now()) {
+            return std::nullopt;
+        }
+        if (found->description.name != target.name) {
+            return CommandResult { CommandStatus::IncarnationMismatch, TargetTime(0), false };
+        }
+        const CommandResult result = command(*found);
         m_fleet.check();
-        return result;
+        return found->darkUntil > m_queue.now() ? std::nullopt : std::optional(result);
     };
     if (isolated || drawChance(random, m_fleet.faults.lostCommands)) {
         return;
     }
     if (drawChance(random, m_fleet.faults.delayedCommands)) {
         // The target has received the command and delays it: it is lost when the target restarts.
-        const FakeTarget *receiver = find(target);
+        const FakeTarget *receiver = find(target.name);
         const std::uint64_t incarnation = receiver != nullptr ? receiver->description.incarnation : 0;
         m_queue.after(std::chrono::milliseconds(2000 + drawBelow(random, 10000)), [this, execute, target, incarnation] {
-            const FakeTarget *found = find(target);
+            const FakeTarget *found = find(target.name);
             if (found != nullptr && found->description.incarnation == incarnation) {
                 execute();
             }
@@ -296,10 +346,10 @@
     }
     const bool responseLost = drawChance(random, m_fleet.faults.lostResponses);
     m_queue.after(requestDelay, [this, execute, endOnce, responseDelay, responseLost] {
-        const CommandResult result = execute();
-        if (!responseLost) {
+        const auto result = execute();
+        if (result && !responseLost) {
             const Duration delay = responseDelay + m_fleet.link.transmit(kResponseBytes, m_queue.now());
-            m_queue.after(delay, [endOnce, result] { endOnce(result); });
+            m_queue.after(delay, [endOnce, answer = *result] { endOnce(answer); });
         }
     });
 }
@@ -311,20 +361,20 @@
         m_fleet.m_violations.push_back("start of an unregistered task: " + describe(command.run));
         return;
     }
-    const FakeFleet::Task known = task->second;
+    FakeFleet::Task &known = task->second;
     StartCommand copy = command;
     copy.payload = nullptr;
     transmit(
-        [this, copy, known](FakeTarget &target) {
+        [this, copy, &known](FakeTarget &target) {
             const bool wasRunning = target.running.count(copy.run) > 0;
             const CommandResult result = target.start(copy, known.work, m_queue.now());
             if (!wasRunning && result.status == CommandStatus::Accepted) {
                 target.running[copy.run].demand = known.demand;
-                m_fleet.m_startedJobs.insert(copy.run.task.job);
+                m_fleet.recordStart(known, copy.run, target);
             }
             return result;
         },
-        command.target.name,
+        command.target,
         kStartBytes,
         command.responseTimeout,
         [this, copy](const CommandResult &result) {
@@ -335,7 +385,7 @@
 void FakeTargetCommands::stop(const StopCommand &command)
 {
     transmit([this, command](FakeTarget &target) { return target.stop(command.token, command.run, m_queue.now()); },
-             command.target.name,
+             command.target,
              kCommandBytes,
              command.responseTimeout,
              [this, command](const CommandResult &result) {
@@ -357,7 +407,7 @@
         return target.inspect(command, *report, m_queue.now());
     };
     transmit(inspectTarget,
-             command.target.name,
+             command.target,
              kCommandBytes,
              command.wait + command.responseTimeout,
              [this, command, report, respond](const CommandResult &result) {
@@ -379,6 +429,9 @@
 {
     m_queue.after(kPollInterval, [this, command, report, until, respond] {
         FakeTarget *target = find(command.target.name);
+        if (target == nullptr || target->isCutOff || target->darkUntil > m_queue.now()) {
+            return; // The response timeout ends the command.
+        }
         *report = TargetReport();
         const CommandResult result = target->inspect(command, *report, m_queue.now());
         if (result.status == CommandStatus::Accepted && report->ended.empty() && m_queue.now() < until) {
--- a/unittests/Dispatch/FakeFleet.h
+++ b/unittests/Dispatch/FakeFleet.h
@@ -87,6 +87,8 @@
     std::map<RunName, Run> running;
     bool hangs = false; ///< Tasks make no progress.
     bool failsAll = false;
+    Instant darkUntil {}; ///< Answers nothing before.
+    bool isCutOff = false; ///< Answers nothing; runs go on.
 
 private:
     [[nodiscard]] TargetTime clock(Instant now) const;
@@ -108,6 +110,14 @@
 {
     std::vector<double> slowness { 1.6, 1.0, 0.6 };
     std::vector<std::uint32_t> milliCores { 32000 };
+    std::size_t targetsPerRack = 4;
+};
+
+/// What happens to a target that crashes.
+struct CrashShape
+{
+    Duration downTime = std::chrono::milliseconds(3300);
+    bool changesName = false; ///< The target returns under another name at the same address.
 };
 
 /// The simulated targets and the network in front of them.
@@ -119,6 +129,19 @@
     void addTargets(std::size_t count, const FleetShape &shape = {});
     /// Registers a submitted task; starting an unregistered one is a violation.
     void registerTask(const TaskName &task, const ResourceDemand &demand, Duration work);
+    /// Makes a registered task crash each target that starts it.
+    void makeCrashing(const TaskName &task)
+    {
+        m_tasks.at(task).crashes = true;
+    }
+    /// Ends all runs of a target without a trace; it is silent for a while.
+    void crash(FakeTarget &target);
+    /// @returns the number of targets that the task has crashed.
+    [[nodiscard]] std::uint32_t crashes(const TaskName &task) const
+    {
+        const auto it = m_tasks.find(task);
+        return it == m_tasks.end() ? 0 : it->second.crashedTargets;
+    }
     /// @returns descriptions of the violated invariants.
     [[nodiscard]] const std::vector<std::string> &violations() const
     {
@@ -135,6 +158,9 @@
     NetworkFaults faults;
     FakeLink link;
     RandomSource random;
+    CrashShape crashShape;
+    /// Called when a crashed target is back.
+    std::function<void(const TargetName &before, const DispatchTarget &target)> onReturned;
 
 private:
     friend class FakeTargetCommands;
@@ -142,8 +168,13 @@
     {
         ResourceDemand demand;
         Duration work;
+        bool crashes = false;
+        std::uint32_t crashedTargets = 0;
+        std::uint32_t startsAfterThreeCrashes = 0;
     };
 
+    void recordStart(Task &task, const RunName &run, FakeTarget &target);
+
     EventQueue &m_queue;
     std::map<TaskName, Task> m_tasks;
     std::set<JobId> m_startedJobs;
@@ -173,7 +204,7 @@
 private:
     /// Sends a command to a target, subject to the network faults.
     void transmit(const std::function<CommandResult(FakeTarget &)> &command,
-                  const TargetName &target,
+                  const TargetAddress &target,
                   double bytes,
                   Duration responseTimeout,
                   std::function<void(const CommandResult &)> respond);
@@ -183,6 +214,7 @@
                     const std::function<void(const CommandResult &)> &respond);
     void deliver(std::function<void()> event);
     FakeTarget *find(const TargetName &name);
+    FakeTarget *findByAddress(const std::string &address);
 
     FakeFleet &m_fleet;
     EventQueue &m_queue;
