Inspections: a silent target becomes unreachable

Callers saw jobs held to their deadline, and further tasks started on a target that answered nothing. Cause: an unanswered inspection didn't count while a second one was in flight; for a silent target the next one is always sent before the last one times out, so neither counted, for as long as the target was silent. The users' crashed targets reset their connections, which hid this there.

The new test failed before.

--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -14,6 +14,9 @@
 /// Delay before a failed inspection is retried, doubled with each failure up to the maximum.
 constexpr Duration kMinInspectRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration kMaxInspectRetryDelay = std::chrono::milliseconds(800);
+/// A target counts as unreachable after this many failed inspections in a row, also while another one is in flight: a
+/// silent target always has one.
+constexpr std::uint32_t kFailuresUntilUnreachable = 2;
 /// Delay before ends of runs are acknowledged on a target without runs, which has no inspection in flight anyway.
 constexpr Duration kAcknowledgeDelay = std::chrono::milliseconds(200);
 /// A run that exceeds its expected run time by this factor is checked for a stall.
@@ -212,11 +215,13 @@
     if (result.status == CommandStatus::NoResponse) {
         recordNoResponse(*target, now);
         recordUnanswered(*target, now);
-        if (!tracker.inspections.empty()) {
-            return; // Wait for the result of the inspection sent since.
-        }
     }
     ++tracker.failures;
+    const bool isSingleLoss =
+        result.status == CommandStatus::NoResponse && tracker.failures < kFailuresUntilUnreachable;
+    if (isSingleLoss && !tracker.inspections.empty()) {
+        return; // Wait for the result of the inspection sent since.
+    }
     const Duration minDelay = std::max(kMinInspectRetryDelay, m_pacer.retryDelay());
     const Duration maxDelay = std::max(kMaxInspectRetryDelay, minDelay);
     tracker.nextInspectAt = now + std::min(maxDelay, minDelay * (1U << std::min(tracker.failures - 1, 4U)));
--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -430,7 +430,8 @@
     m_queue.after(kPollInterval, [this, command, report, until, respond] {
         FakeTarget *target = find(command.target.name);
         if (target == nullptr || target->isCutOff || target->darkUntil > m_queue.now()) {
-            return; // The response timeout ends the command.
+            m_queue.at(until + command.responseTimeout, [this, respond] { deliver([respond] { respond({}); }); });
+            return;
         }
         *report = TargetReport();
         const CommandResult result = target->inspect(command, *report, m_queue.now());
--- a/unittests/Dispatch/LostCommandsTest.cpp
+++ b/unittests/Dispatch/LostCommandsTest.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(inspection_outdatedReport_dropped);
     CPPUNIT_TEST(inspection_answeredWithoutClock_reportApplied);
     CPPUNIT_TEST(inspection_ofEarlierOwnership_ignored);
+    CPPUNIT_TEST(inspection_unansweredTwiceWhileAnotherIsInFlight_targetUnreachable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,7 +185,25 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t { 1 }, m_dispatcher->load().targets);
     }
 
+    void inspection_unansweredTwiceWhileAnotherIsInFlight_targetUnreachable()
+    {
+        answerStart(CommandStatus::Accepted);
+        const std::size_t first = m_commands.inspections.size() - 1;
+        advanceTime(m_commands.inspections[first].wait + std::chrono::milliseconds(40));
+        failInspection(first);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("one response may be lost", std::uint32_t { 1 }, m_dispatcher->load().targets);
+        advanceTime(std::chrono::milliseconds(40));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("another is in flight", first + 3, m_commands.inspections.size());
+        failInspection(first + 1);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 0 }, m_dispatcher->load().targets);
+    }
+
 private:
+    void failInspection(std::size_t index)
+    {
+        m_dispatcher->inspectionFailed(m_target.name, m_commands.inspections[index].number, {}, m_now);
+    }
+
     static CommandResult accepted(TargetTime::rep clock)
     {
         return { CommandStatus::Accepted, TargetTime(clock), true };
