Leases: an inspection that follows an unanswered one doesn't renew

Cause: each inspection of an unreachable target renewed the lease in the owner's books, because the command might still be executed; with a retry every 0.8 s at most and a lease of 1 s, the runs never counted as ended.

Ruled out: a late connection reset as the sole signal; requeueing on a refused connection, which a partition can cause, too. Why it works: the owner grants no lease that it can't see accepted, so the last grant runs out one lease after the last answer; the first answer resumes it.

--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -111,8 +111,10 @@
     command.target = tracker.targetAddress();
     command.token = tracker.token();
     command.acknowledged = tracker.lastEnd();
-    const bool hasRuns = !tracker.runs().empty();
-    if (hasRuns && tracker.hasClock() && tracker.inspected) {
+    // Each renewal postpones the time at which the runs count as ended if the target is lost. So none is sent until the
+    // last one has been answered.
+    const bool isAnswering = tracker.failures == 0 && tracker.inspections.empty();
+    if (isAnswering && !tracker.runs().empty() && tracker.hasClock() && tracker.inspected) {
         command.renew = true;
         command.leaseEnd = tracker.extendLease(m_policy.leaseLength, oldestHomeContact(target, now), now);
         const bool stopping = std::any_of(tracker.runs().begin(), tracker.runs().end(), [](const auto &it) {
@@ -121,9 +123,6 @@
         const auto maxWait = now < m_lossyUntil ? m_policy.inspectWaitUnderLoss : m_policy.inspectWait;
         command.wait = stopping ? maxWait / 10 : maxWait;
     }
-    if (tracker.failures > 0 || !tracker.inspections.empty()) {
-        command.wait = std::chrono::milliseconds(0);
-    }
     command.number = ++m_lastInspection;
     tracker.inspections.emplace(command.number, SentInspection { command.number, now, command.wait.count() == 0 });
     command.responseTimeout = m_pacer.responseTimeout();
--- a/unittests/Dispatch/LostCommandsTest.cpp
+++ b/unittests/Dispatch/LostCommandsTest.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(inspection_answeredWithoutClock_reportApplied);
     CPPUNIT_TEST(inspection_ofEarlierOwnership_ignored);
     CPPUNIT_TEST(inspection_unansweredTwiceWhileAnotherIsInFlight_targetUnreachable);
+    CPPUNIT_TEST(inspection_previousUnanswered_leaseNotRenewed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -198,6 +199,25 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t { 0 }, m_dispatcher->load().targets);
     }
 
+    void inspection_previousUnanswered_leaseNotRenewed()
+    {
+        answerStart(CommandStatus::Accepted);
+        const std::size_t first = m_commands.inspections.size() - 1;
+        CPPUNIT_ASSERT(m_commands.inspections[first].renew);
+        advanceTime(m_commands.inspections[first].wait + std::chrono::milliseconds(40));
+        CPPUNIT_ASSERT_MESSAGE("overdue", !m_commands.inspections[first + 1].renew);
+        failInspection(first);
+        failInspection(first + 1);
+        advanceTime(std::chrono::milliseconds(200));
+        CPPUNIT_ASSERT_GREATER(first + 2, m_commands.inspections.size());
+        CPPUNIT_ASSERT_MESSAGE("unreachable", !m_commands.inspections.back().renew);
+        TargetReport running;
+        running.incarnation = 1;
+        running.running.push_back({ run(), 40 });
+        m_dispatcher->inspected(m_target.name, m_commands.inspections.back().number, running, accepted(400), m_now);
+        CPPUNIT_ASSERT_MESSAGE("reachable again", m_commands.inspections.back().renew);
+    }
+
 private:
     void failInspection(std::size_t index)
     {
