Dispatch: a task that crashes its targets is given up

Cause: only ends that a target reports count towards a task's attempts; a target that has crashed reports nothing, and a requeued run left no trace. Class of fault: a retry without a bound, for losses that look like other losses.

What counts: a run at work on a target whose next life is seen (its report, its answer to a command for the last life, or a later entry at its address). What doesn't: a target that answers again, leaves after draining, or is lost together with half of its rack's busy targets (three or more) or with five others, unless half of them ran tasks of one job. Two crashes give a task up for which it was among the last started, three in any case; its job ends as failed, with the reason targets_crashed. While the causes of two losses are unknown, it waits for 5 s; after four losses of any cause it isn't started again. It restarts apart from other tasks, and its start isn't resent, which would crash the next life.

--- a/include/eelgrasscleat/Dispatch/CrashHistory.h
+++ b/include/eelgrasscleat/Dispatch/CrashHistory.h
@@ -35,11 +35,12 @@
     bool operator==(const CrashSuspect &) const = default;
 };
 
-/// A crash that is attributed to the tasks at work on the target.
+/// A crash of a target, and the tasks that were at work on it.
 struct TargetCrash
 {
     TargetLife target;
     std::vector<CrashSuspect> suspects;
+    bool commonCause = false; ///< Other targets were lost with it: the crash isn't attributed to tasks.
     bool operator==(const TargetCrash &) const = default;
 };
 
@@ -60,13 +61,10 @@
     /// Runs started within this time of the latest one count as started last, too: starts sent together may arrive in
     /// any order.
     Duration startOrderTolerance = std::chrono::milliseconds(100);
-    /// Targets lost within this time of each other may have a common cause. Covers the time after which a silent target
-    /// is noticed.
-    Duration commonCauseWindow = std::chrono::milliseconds(500);
-    /// So many targets of one rack lost together have a common cause, such as a power failure, unless half of them ran
-    /// tasks of one job.
+    /// So many targets of one rack, and half of those with runs, have a common cause if they may have been lost at the
+    /// same time, such as a power failure; unless half of them ran tasks of one job.
     std::size_t commonCauseRackTargets = 3;
-    /// The same for targets of any racks.
+    /// The same for so many targets of any racks.
     std::size_t commonCauseTargets = 6;
     /// Maximum number of remembered losses; bounds memory.
     std::size_t maxRemembered = 4096;
@@ -93,27 +91,39 @@
 
     explicit CrashHistory(const CrashPolicy &policy = {});
 
-    /// A target stopped answering while @p runs may have been at work on it.
-    /// @param incarnation the life of the target that was lost; its description may be older or newer
-    void targetLost(const DispatchTarget &target,
-                    std::uint64_t incarnation,
-                    const std::vector<RunAtWork> &runs,
-                    Instant now);
+    /// What is known about a target that was lost.
+    struct LostTarget
+    {
+        TargetLife life;
+        std::string address;
+        std::string rack;
+        std::size_t busyRackTargets = 0; ///< Targets of the rack that had runs, this one included.
+        Instant lastAnsweredAt; ///< It was lost between then and now.
+        std::vector<RunAtWork> runs; ///< That may have been at work on it.
+    };
+
+    /// A target no longer answers.
+    void targetLost(const LostTarget &target, Instant now);
     /// A lost target answers again.
     /// @param incarnation its present life
-    /// @returns the crash, if that is another life than the lost one and the crash is attributed to tasks.
+    /// @returns the crash, if that is another life than the lost one.
     std::optional<TargetCrash> targetAnswered(const TargetName &target, std::uint64_t incarnation, Instant now);
     /// The list of targets has an entry. A later life at the address of a lost target shows that the target has
     /// crashed.
-    /// @returns the crash, if it is attributed to tasks.
+    /// @returns the crash, if it has just become known.
     std::optional<TargetCrash> targetListed(const DispatchTarget &target, Instant now);
     /// Another life of the target answers at its address.
-    /// @returns the crash, if the target was lost and the crash is attributed to tasks.
+    /// @returns the crash, if it has just become known.
     std::optional<TargetCrash> targetReplaced(const TargetName &target, Instant now);
     /// Another instance has attributed a crash, or this one in an earlier life.
     /// @returns whether the crash was not known.
     bool learn(const TargetCrash &crash, Instant now);
 
+    /// @returns whether no task has been at work on a lost target.
+    [[nodiscard]] bool isEmpty() const
+    {
+        return m_byTask.empty();
+    }
     [[nodiscard]] StartAdvice advice(const TaskName &task, Instant now) const;
     /// @returns the number of crashes attributed to the task.
     [[nodiscard]] std::uint32_t crashes(const TaskName &task) const;
@@ -131,8 +141,10 @@
 
     struct Loss
     {
-        std::string address;
+        std::string address; ///< Empty if another instance has recorded it.
         std::string rack;
+        std::size_t busyRackTargets = 0;
+        Instant lastAnsweredAt {};
         Instant lostAt {};
         Instant recordedAt {};
         Cause cause = Cause::Unknown;
--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -118,6 +118,8 @@
     /// The list of targets has an entry of the zone, whoever owns the target. It may show that an owned target has
     /// crashed.
     void targetListed(const DispatchTarget &target, Instant now);
+    /// Another instance has attributed a crash to tasks, or this one in an earlier life.
+    void crashLearned(const TargetCrash &crash, Instant now);
     /// Sets whether new runs may start on the target; false during a handover.
     void setAccepting(const TargetName &target, bool accepting);
     /// @returns whether no run can be active on the target.
--- a/include/eelgrasscleat/Dispatch/JobTypes.h
+++ b/include/eelgrasscleat/Dispatch/JobTypes.h
@@ -72,7 +72,7 @@
 enum class JobOutcome
 {
     Complete, ///< All tasks have completed.
-    Failed, ///< A task has failed as many times as the route allows.
+    Failed, ///< A task has failed as many times as the route allows, or crashes its targets.
     Refused, ///< Not run: no task was started and none will be.
     Abandoned, ///< Some tasks may have run; all are stopped. The job may be resubmitted.
     Expired, ///< Like Abandoned, because the deadline has passed.
@@ -103,6 +103,7 @@
     TargetsLost, ///< The dispatcher lost ownership of the targets that ran the job.
     DeliveryDelayed, ///< The job reached the dispatcher so late that its home instance may have abandoned it.
     ZoneEvacuated, ///< The operator has evacuated the zone of the targets.
+    TargetsCrashed, ///< One of the job's tasks crashes the targets that start it.
 };
 
 /// @returns the name of @p reason used in logs and metrics.
--- a/lib/Dispatch/CrashHistory.cpp
+++ b/lib/Dispatch/CrashHistory.cpp
@@ -55,28 +55,26 @@
     return m_losses.end();
 }
 
-void CrashHistory::targetLost(const DispatchTarget &target,
-                              std::uint64_t incarnation,
-                              const std::vector<RunAtWork> &runs,
-                              Instant now)
+void CrashHistory::targetLost(const LostTarget &target, Instant now)
 {
-    const TargetLife life { target.name, incarnation };
-    if (runs.empty() || m_losses.count(life) > 0) {
+    if (target.runs.empty() || m_losses.count(target.life) > 0) {
         return;
     }
     Instant latest {};
-    for (const RunAtWork &it : runs) {
+    for (const RunAtWork &it : target.runs) {
         latest = std::max(latest, it.startedAt);
     }
     Loss loss;
     loss.address = target.address;
     loss.rack = target.rack;
+    loss.busyRackTargets = target.busyRackTargets;
+    loss.lastAnsweredAt = target.lastAnsweredAt;
     loss.lostAt = now;
     loss.recordedAt = now;
-    for (const RunAtWork &it : runs) {
+    for (const RunAtWork &it : target.runs) {
         loss.suspects.push_back({ it.task, latest - it.startedAt <= m_policy.startOrderTolerance });
     }
-    add(life, std::move(loss));
+    add(target.life, std::move(loss));
 }
 
 std::optional<TargetCrash>
@@ -113,13 +111,13 @@
 
 std::optional<TargetCrash> CrashHistory::confirmCrash(const TargetLife &life, Loss &loss, Instant now)
 {
-    if (loss.cause != Cause::Unknown || hasCommonCause(loss)) {
-        loss.cause = Cause::Other;
+    if (loss.cause != Cause::Unknown) {
         return std::nullopt;
     }
-    loss.cause = Cause::Crash;
+    const bool commonCause = hasCommonCause(loss);
+    loss.cause = commonCause ? Cause::Other : Cause::Crash;
     loss.recordedAt = now;
-    return TargetCrash { life, loss.suspects };
+    return TargetCrash { life, loss.suspects, commonCause };
 }
 
 /// A job that had tasks on half of the targets lost together may have crashed them, however many they are.
@@ -130,8 +128,8 @@
     std::map<JobId, std::size_t> targetsOfJob;
     for (const auto &it : m_losses) {
         const Loss &other = it.second;
-        const Duration gap = other.lostAt > loss.lostAt ? other.lostAt - loss.lostAt : loss.lostAt - other.lostAt;
-        if (other.address.empty() || gap > m_policy.commonCauseWindow) {
+        const bool overlap = other.lastAnsweredAt <= loss.lostAt && loss.lastAnsweredAt <= other.lostAt;
+        if (other.address.empty() || !overlap) {
             continue;
         }
         ++targets;
@@ -144,7 +142,8 @@
             ++targetsOfJob[job];
         }
     }
-    if (rackTargets < m_policy.commonCauseRackTargets && targets < m_policy.commonCauseTargets) {
+    const bool isRack = rackTargets >= m_policy.commonCauseRackTargets && 2 * rackTargets >= loss.busyRackTargets;
+    if (!isRack && targets < m_policy.commonCauseTargets) {
         return false;
     }
     return std::none_of(loss.suspects.begin(), loss.suspects.end(), [&](const CrashSuspect &it) {
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -123,6 +123,10 @@
         refuse(origin, id, JobEndReason::ZoneEvacuated, kMaxRetryDelay);
         return;
     }
+    if (isGivenUp(request, now)) {
+        m_observer.jobEnded(origin.home, { id, origin.ticket, JobOutcome::Failed, JobEndReason::TargetsCrashed, {} });
+        return;
+    }
     m_jobTable.recordArrival(request, now);
     for (const JobStep &it : request.steps) {
         if (!m_selector.hasSuitableTarget(request.service, it)) {
@@ -234,7 +238,7 @@
     }
 }
 
-/// @returns whether all ready tasks of the job were placed.
+/// @returns whether all ready tasks of the job were placed that may start.
 bool Dispatcher::Impl::placeTasks(ActiveJob &job, Instant now)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
@@ -247,11 +251,16 @@
                 return false;
             }
             const TaskName task = job.taskName(step, i);
-            OwnedTarget *target = m_selector.select(job, task, run, now);
+            const StartAdvice advice = m_crashes.advice(task, now);
+            if (advice == StartAdvice::Wait || advice == StartAdvice::GiveUp) {
+                continue; // Other tasks don't have to wait for it.
+            }
+            const bool isolate = advice == StartAdvice::Isolate;
+            OwnedTarget *target = m_selector.select(job, task, isolate, run, now);
             if (target == nullptr) {
                 return false;
             }
-            startRun(*target, job, task, now);
+            startRun(*target, job, task, isolate, now);
         }
     }
     return true;
@@ -323,7 +332,8 @@
         const std::uint32_t capacity = it.second->tracker.target().capacity.milliCores;
         ++load.targets;
         load.totalMilliCores += capacity;
-        freeCapacities.push_back(it.second->tracker.freeCapacity().milliCores);
+        const bool isIsolated = it.second->tracker.hasIsolatedRun();
+        freeCapacities.push_back(isIsolated ? 0 : it.second->tracker.freeCapacity().milliCores);
         load.freeMilliCores += freeCapacities.back();
         load.largestMilliCores = std::max(load.largestMilliCores, capacity);
     }
@@ -368,6 +378,12 @@
     m_impl->targetListed(target, now);
 }
 
+void Dispatcher::crashLearned(const TargetCrash &crash, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->crashLearned(crash, now);
+}
+
 void Dispatcher::setAccepting(const TargetName &target, bool accepting)
 {
     const auto it = m_impl->m_targets.find(target);
--- a/lib/Dispatch/DispatcherCrashes.cpp
+++ b/lib/Dispatch/DispatcherCrashes.cpp
@@ -1,44 +1,64 @@
 /// @file
-/// Lost targets: which runs were at work on them, and whether they have crashed.
+/// Lost targets: which runs were at work on them, whether they have crashed, and which tasks are given up for it.
 #include "DispatcherImpl.h"
 
+#include <algorithm>
+
 namespace Eelgrasscleat
 {
 
+CrashHistory::LostTarget Dispatcher::Impl::describeLoss(const OwnedTarget &target) const
+{
+    const TargetTracker &tracker = target.tracker;
+    CrashHistory::LostTarget lost;
+    lost.life = { tracker.target().name, tracker.incarnation() };
+    lost.address = tracker.target().address;
+    lost.rack = tracker.target().rack;
+    lost.lastAnsweredAt = tracker.lastAnsweredAt();
+    lost.busyRackTargets = static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [&](auto &it) {
+        return it.second->tracker.target().rack == lost.rack && !it.second->tracker.runs().empty();
+    }));
+    return lost;
+}
+
 void Dispatcher::Impl::recordLoss(OwnedTarget &target, Instant now)
 {
     const TargetTracker &tracker = target.tracker;
     if (tracker.target().draining) {
         return; // It has announced that it leaves.
     }
-    std::vector<CrashHistory::RunAtWork> runs;
+    CrashHistory::LostTarget lost = describeLoss(target);
     for (const auto &it : tracker.runs()) {
-        if (it.second.inspectionAtStopAck) {
-            continue; // It had been stopped.
-        }
         const double ms = std::chrono::duration<double, std::milli>(now - it.second.dispatchedAt).count();
         m_observer.runDecided("target_lost", it.first, tracker.target().name, ms);
-        runs.push_back({ it.first.task, it.second.dispatchedAt });
+        lost.runs.push_back({ it.first.task, it.second.dispatchedAt });
     }
-    m_crashes.targetLost(tracker.target(), tracker.incarnation(), runs, now);
+    m_crashes.targetLost(lost, now);
 }
 
-/// The target was back before it was noticed to be unreachable.
-void Dispatcher::Impl::recordRestart(OwnedTarget &target, const ReportChanges &changes, Instant now)
+/// The target was back before it was noticed to be unreachable. Its next life may have acknowledged a stop of a run
+/// that was at work in the previous one.
+void Dispatcher::Impl::recordRestart(OwnedTarget &target,
+                                     const ReportChanges &changes,
+                                     Instant lastAnsweredAt,
+                                     Instant now)
 {
-    const TargetName &name = target.tracker.target().name;
-    std::vector<CrashHistory::RunAtWork> runs;
+    CrashHistory::LostTarget lost = describeLoss(target);
+    lost.life.incarnation = changes.previousIncarnation;
+    lost.lastAnsweredAt = lastAnsweredAt;
+    const auto addRun = [&](const RunName &name, const TrackedRun &run) {
+        m_observer.runDecided("target_lost", name, lost.life.name, 0);
+        lost.runs.push_back({ name.task, run.dispatchedAt });
+    };
     for (const auto &it : changes.missing) {
-        m_observer.runDecided("target_lost", it.first, name, 0);
-        runs.push_back({ it.first.task, it.second.dispatchedAt });
+        addRun(it.first, it.second);
     }
     for (const RunName &it : changes.uncertain) {
-        if (const TrackedRun *run = target.tracker.findRun(it); run != nullptr && !run->inspectionAtStopAck) {
-            m_observer.runDecided("target_lost", it, name, 0);
-            runs.push_back({ it.task, run->dispatchedAt });
+        if (const TrackedRun *run = target.tracker.findRun(it)) {
+            addRun(it, *run);
         }
     }
-    m_crashes.targetLost(target.tracker.target(), changes.previousIncarnation, runs, now);
+    m_crashes.targetLost(lost, now);
 }
 
 void Dispatcher::Impl::targetListed(const DispatchTarget &target, Instant now)
@@ -46,11 +66,50 @@
     crashAttributed(m_crashes.targetListed(target, now), now);
 }
 
-void Dispatcher::Impl::crashAttributed(const std::optional<TargetCrash> &crash, Instant)
+void Dispatcher::Impl::crashAttributed(const std::optional<TargetCrash> &crash, Instant now)
+{
+    if (!crash) {
+        return;
+    }
+    m_observer.targetCrashed(*crash);
+    if (!crash->commonCause) {
+        giveUpSuspects(*crash, now);
+    }
+}
+
+void Dispatcher::Impl::crashLearned(const TargetCrash &crash, Instant now)
 {
-    if (crash) {
-        m_observer.targetCrashed(*crash);
+    if (m_crashes.learn(crash, now)) {
+        giveUpSuspects(crash, now);
+    }
+}
+
+/// Ends the jobs of tasks that crash their targets.
+void Dispatcher::Impl::giveUpSuspects(const TargetCrash &crash, Instant now)
+{
+    for (const CrashSuspect &it : crash.suspects) {
+        ActiveJob *job = m_jobTable.findById(it.task.job);
+        if (job != nullptr && isGivenUp(job->request, now)) {
+            terminateJob(*job, JobOutcome::Failed, JobEndReason::TargetsCrashed, now);
+        }
+    }
+}
+
+/// @returns whether one of the job's tasks crashes its targets.
+bool Dispatcher::Impl::isGivenUp(const JobRequest &request, Instant now) const
+{
+    if (m_crashes.isEmpty()) {
+        return false;
+    }
+    for (std::uint32_t step = 0; step < request.steps.size(); ++step) {
+        const JobStep &tasks = request.steps[step];
+        for (std::uint32_t i = 0; i < tasks.tasks; ++i) {
+            if (m_crashes.advice({ request.id, step, tasks.firstTask + i }, now) == StartAdvice::GiveUp) {
+                return true;
+            }
+        }
     }
+    return false;
 }
 
 } // namespace Eelgrasscleat
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -43,6 +43,7 @@
     void targetOwned(const DispatchTarget &target, FencingToken token, Instant now);
     void targetReleased(const TargetName &target, Instant now);
     void targetListed(const DispatchTarget &target, Instant now);
+    void crashLearned(const TargetCrash &crash, Instant now);
     void startAnswered(const TargetName &name, const RunName &run, const CommandResult &result, Instant now);
     void stopAnswered(const TargetName &name, const RunName &run, const CommandResult &result, Instant now);
     void inspected(const TargetName &name,
@@ -88,7 +89,7 @@
     [[nodiscard]] Instant lastContact(const InstanceName &home) const;
 
     // Runs.
-    void startRun(OwnedTarget &target, ActiveJob &job, const TaskName &task, Instant now);
+    void startRun(OwnedTarget &target, ActiveJob &job, const TaskName &task, bool isolated, Instant now);
     void sendStart(OwnedTarget &target, const ActiveJob &job, const RunName &name, TrackedRun &run, Instant now);
     void repeatStart(OwnedTarget &target, const RunName &name, TrackedRun &run, Instant now);
     void handleStartRejection(OwnedTarget &target, const RunName &name, CommandStatus status, Instant now);
@@ -109,9 +110,12 @@
     void inspect(OwnedTarget &target, Instant now);
     void checkProgress(OwnedTarget &target, Instant now);
     void applyReportChanges(OwnedTarget &target, const ReportChanges &changes, Instant now);
+    [[nodiscard]] CrashHistory::LostTarget describeLoss(const OwnedTarget &target) const;
     void recordLoss(OwnedTarget &target, Instant now);
-    void recordRestart(OwnedTarget &target, const ReportChanges &changes, Instant now);
+    void recordRestart(OwnedTarget &target, const ReportChanges &changes, Instant lastAnsweredAt, Instant now);
     void crashAttributed(const std::optional<TargetCrash> &crash, Instant now);
+    void giveUpSuspects(const TargetCrash &crash, Instant now);
+    [[nodiscard]] bool isGivenUp(const JobRequest &request, Instant now) const;
     [[nodiscard]] Instant oldestHomeContact(const OwnedTarget &target, Instant now) const;
     [[nodiscard]] OwnedTarget *find(const TargetName &name);
 
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -42,7 +42,7 @@
     return oldest;
 }
 
-void Dispatcher::Impl::startRun(OwnedTarget &target, ActiveJob &job, const TaskName &task, Instant now)
+void Dispatcher::Impl::startRun(OwnedTarget &target, ActiveJob &job, const TaskName &task, bool isolated, Instant now)
 {
     const JobStep &step = job.request.steps[task.step];
     TaskEntry &entry = job.entry(task);
@@ -53,6 +53,7 @@
     run.job = job.number;
     run.demand = step.demand;
     run.home = job.origin.home;
+    run.isolated = isolated;
     run.dispatchedAt = now;
     run.callerEstimate = step.estimate;
     SizeModel &sizes = m_jobTable.sizes(job.request.route);
@@ -89,11 +90,12 @@
 }
 
 /// Resends an unanswered start command once with the same run number. The command is idempotent: a target that executed
-/// the first one confirms it. Otherwise the run starts now instead of being stopped and started elsewhere.
+/// the first one confirms it. Otherwise the run starts now instead of being stopped and started elsewhere. Not for a
+/// run that may have crashed the target: the command would crash the target's next life.
 void Dispatcher::Impl::repeatStart(OwnedTarget &target, const RunName &name, TrackedRun &run, Instant now)
 {
     const ActiveJob *job = m_jobTable.find(run.job);
-    if (job == nullptr || run.startsSent > 1 || now - run.dispatchedAt < m_pacer.retryDelay()) {
+    if (job == nullptr || run.isolated || run.startsSent > 1 || now - run.dispatchedAt < m_pacer.retryDelay()) {
         return;
     }
     if (now - lastContact(run.home) > m_policy.homeStartTimeout || !mayStart(now)) {
--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -156,6 +156,7 @@
     }
     tracker.reachable = true;
     const std::uint64_t acknowledged = tracker.lastEnd();
+    const Instant lastAnsweredAt = tracker.lastAnsweredAt();
     const ReportChanges changes = tracker.reconcile(report, result.clock, sent, now);
     if (result.hasClock) {
         tracker.sampleClock(result.clock, now);
@@ -163,10 +164,10 @@
     tracker.acknowledged = changes.restarted ? 0 : acknowledged;
     tracker.inspected = true;
     if (changes.restarted) {
-        recordRestart(*target, changes, now);
+        recordRestart(*target, changes, lastAnsweredAt, now);
     }
-    crashAttributed(m_crashes.targetAnswered(name, tracker.incarnation(), now), now);
     applyReportChanges(*target, changes, now);
+    crashAttributed(m_crashes.targetAnswered(name, tracker.incarnation(), now), now);
     checkProgress(*target, now);
     placeWaiting(now);
     if (!tracker.inspections.empty()) {
@@ -235,8 +236,8 @@
     }
     if (result.status == CommandStatus::IncarnationMismatch) {
         recordLoss(*target, now);
-        crashAttributed(m_crashes.targetReplaced(name, now), now);
         abandonRuns(*target, now);
+        crashAttributed(m_crashes.targetReplaced(name, now), now);
         tracker.inspected = false;
         return;
     }
--- a/lib/Dispatch/JobTypes.cpp
+++ b/lib/Dispatch/JobTypes.cpp
@@ -16,7 +16,7 @@
     "complete", "failed", "refused", "abandoned", "expired", "canceled",
 };
 
-constexpr std::array<std::string_view, 18> kJobEndReasonNames = {
+constexpr std::array<std::string_view, 19> kJobEndReasonNames = {
     "none",
     "no_configuration",
     "unknown_route",
@@ -35,6 +35,7 @@
     "targets_lost",
     "held_up",
     "zone_evacuated",
+    "targets_crashed",
 };
 
 constexpr std::array<std::string_view, 5> kRunEndKindNames = { "done", "failed", "stopped", "lapsed", "other" };
--- a/lib/Dispatch/TargetSelector.cpp
+++ b/lib/Dispatch/TargetSelector.cpp
@@ -27,6 +27,8 @@
 constexpr double kRetryPenalty = 3;
 /// Cost factor of a rack without the step's data: the slowdown given in the platform's description of racks.
 constexpr double kOtherRackPenalty = 1.5;
+/// Cost factor of a target with other runs for a task that may crash it: an idle target of any speed is preferred.
+constexpr double kSharedTargetPenalty = 10;
 
 } // namespace
 
@@ -80,7 +82,8 @@
     return now + time <= job.objectiveAt ? 1 / slowness : kMissedObjectiveCost * slowness;
 }
 
-OwnedTarget *TargetSelector::select(const ActiveJob &job, const TaskName &task, Duration run, Instant now) const
+OwnedTarget *
+TargetSelector::select(const ActiveJob &job, const TaskName &task, bool isolate, Duration run, Instant now) const
 {
     const JobStep &step = job.request.steps[task.step];
     const TaskEntry &entry = job.entry(task);
@@ -92,6 +95,9 @@
         if (!isSuitable(tracker.target(), job.request.service, step) || !isUsable(target, now)) {
             continue;
         }
+        if (tracker.hasIsolatedRun()) {
+            continue;
+        }
         const ResourceDemand available = tracker.freeCapacity();
         if (!step.demand.fitsIn(available)
             || (step.perTargetLimit > 0 && runsOfStep(tracker, task) >= step.perTargetLimit)) {
@@ -103,6 +109,9 @@
         if (tracker.target().name == entry.lastTarget) {
             cost *= kRetryPenalty;
         }
+        if (isolate && !tracker.runs().empty()) {
+            cost *= kSharedTargetPenalty;
+        }
         if (!step.preferredRack.empty() && tracker.target().rack != step.preferredRack) {
             cost *= kOtherRackPenalty;
         }
--- a/lib/Dispatch/TargetSelector.h
+++ b/lib/Dispatch/TargetSelector.h
@@ -41,9 +41,11 @@
 
     /// @returns whether a run may be started on the target now, regardless of its free capacity.
     [[nodiscard]] bool isUsable(const OwnedTarget &target, Instant now) const;
+    /// @param isolate whether the task may crash its target: it is kept apart from others as far as possible
     /// @param run expected run time of the task on the reference target
     /// @returns the best usable target with free capacity for the task, or null if there is none.
-    [[nodiscard]] OwnedTarget *select(const ActiveJob &job, const TaskName &task, Duration run, Instant now) const;
+    [[nodiscard]] OwnedTarget *
+    select(const ActiveJob &job, const TaskName &task, bool isolate, Duration run, Instant now) const;
     /// @returns whether any owned target could run the step's tasks if it were idle.
     [[nodiscard]] bool hasSuitableTarget(const ServiceName &service, const JobStep &step) const;
 
--- a/lib/Dispatch/TargetTracker.cpp
+++ b/lib/Dispatch/TargetTracker.cpp
@@ -192,6 +192,11 @@
     return now >= m_leaseExpiresAt;
 }
 
+bool TargetTracker::hasIsolatedRun() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [](const auto &it) { return it.second.isolated; });
+}
+
 ResourceDemand TargetTracker::freeCapacity() const
 {
     ResourceDemand available = m_target.capacity;
--- a/lib/Dispatch/TargetTracker.h
+++ b/lib/Dispatch/TargetTracker.h
@@ -30,6 +30,7 @@
     JobNumber job; ///< None if an earlier owner started the run.
     ResourceDemand demand;
     InstanceName home; ///< Home instance of the job.
+    bool isolated = false; ///< May crash the target: nothing is started beside it.
     RunState state = RunState::Starting;
     Instant dispatchedAt {}; ///< Time of the first start command, or of the report that listed an unknown run.
     Instant startedAt {};
@@ -113,6 +114,7 @@
 
     /// @returns the capacity not reserved by any run; none while a run of unknown demand is active.
     [[nodiscard]] ResourceDemand freeCapacity() const;
+    [[nodiscard]] bool hasIsolatedRun() const;
     [[nodiscard]] const DispatchTarget &target() const
     {
         return m_target;
@@ -125,6 +127,11 @@
     {
         return m_token;
     }
+    /// @returns when the target last answered with its clock.
+    [[nodiscard]] Instant lastAnsweredAt() const
+    {
+        return m_clockAt;
+    }
     /// @returns the latest incarnation that has reported, or else the listed one.
     [[nodiscard]] std::uint64_t incarnation() const
     {
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -151,7 +151,10 @@
 /// Each suspect gets a line, so that the crashes under a task are found by its name.
 void DecisionLog::targetCrashed(const TargetCrash &crash, Instant now)
 {
-    targetChanged("crashed", crash.target.name, crash.suspects.size(), now);
+    targetChanged(crash.commonCause ? "crashed_with_others" : "crashed", crash.target.name, crash.suspects.size(), now);
+    if (crash.commonCause) {
+        return;
+    }
     for (const CrashSuspect &it : crash.suspects) {
         if (acquireLine(now)) {
             writeLog(LogLevel::Info,
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -113,7 +113,11 @@
     message.set_ticket(end.ticket);
     message.set_id(end.id.value);
     message.set_outcome(static_cast<std::uint32_t>(end.outcome));
-    message.set_reason(static_cast<std::uint32_t>(end.reason));
+    // Earlier versions drop an end with a reason that they don't know.
+    const bool targetsCrashed = end.reason == JobEndReason::TargetsCrashed;
+    const JobEndReason reason = targetsCrashed ? JobEndReason::AttemptsExhausted : end.reason;
+    message.set_reason(static_cast<std::uint32_t>(reason));
+    message.set_targets_crashed(targetsCrashed);
     message.set_retry_after_us(toMicroseconds(end.retryAfter));
 }
 
@@ -127,7 +131,7 @@
     end.ticket = message.ticket();
     end.id = JobId(message.id());
     end.outcome = static_cast<JobOutcome>(message.outcome());
-    end.reason = static_cast<JobEndReason>(message.reason());
+    end.reason = message.targets_crashed() ? JobEndReason::TargetsCrashed : static_cast<JobEndReason>(message.reason());
     end.retryAfter = toDuration(message.retry_after_us());
     return end;
 }
--- a/unittests/Dispatch/CrashHistoryTest.cpp
+++ b/unittests/Dispatch/CrashHistoryTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(confirm_manyTargetsLostTogether_notAttributed);
     CPPUNIT_TEST(confirm_rackLostByTasksOfOneJob_attributed);
     CPPUNIT_TEST(confirm_sameRackAtDifferentTimes_attributed);
+    CPPUNIT_TEST(confirm_fewTargetsOfBusyRack_attributed);
     CPPUNIT_TEST(learn_crashesOfOtherInstances_count);
     CPPUNIT_TEST(learn_crashAlreadyKnown_countsOnce);
     CPPUNIT_TEST(advance_afterRetention_forgets);
@@ -36,6 +37,7 @@
         m_history = CrashHistory(CrashPolicy());
         m_now = Instant(std::chrono::seconds(1000));
         m_rack.clear();
+        m_busyRackTargets = 3;
     }
 
     void advice_targetsCrashTwiceRightAfterStart_givesUp()
@@ -137,7 +139,7 @@
             lose(it, { TaskName { JobId(it), 0, 0 } });
         }
         for (const char *it : { "a", "b", "c" }) {
-            CPPUNIT_ASSERT(!m_history.targetAnswered(TargetName(it), 2, m_now));
+            CPPUNIT_ASSERT(m_history.targetAnswered(TargetName(it), 2, m_now)->commonCause);
             CPPUNIT_ASSERT_EQUAL(0U, m_history.crashes({ JobId(it), 0, 0 }));
         }
     }
@@ -150,7 +152,7 @@
             lose(it, { TaskName { JobId(it), 0, 0 } });
         }
         for (const char *it : names) {
-            CPPUNIT_ASSERT(!m_history.targetAnswered(TargetName(it), 2, m_now));
+            CPPUNIT_ASSERT(m_history.targetAnswered(TargetName(it), 2, m_now)->commonCause);
         }
     }
 
@@ -170,9 +172,19 @@
         m_rack = "rack";
         for (const char *it : { "a", "b", "c" }) {
             lose(it, { TaskName { JobId(it), 0, 0 } });
-            m_now += std::chrono::seconds(1);
+            m_now += std::chrono::milliseconds(250);
         }
-        CPPUNIT_ASSERT(m_history.targetAnswered(TargetName("b"), 2, m_now));
+        CPPUNIT_ASSERT(!m_history.targetAnswered(TargetName("b"), 2, m_now)->commonCause);
+    }
+
+    void confirm_fewTargetsOfBusyRack_attributed()
+    {
+        m_rack = "rack";
+        m_busyRackTargets = 8;
+        for (const char *it : { "a", "b", "c" }) {
+            lose(it, { TaskName { JobId(it), 0, 0 } });
+        }
+        CPPUNIT_ASSERT(!m_history.targetAnswered(TargetName("b"), 2, m_now)->commonCause);
     }
 
     void learn_crashesOfOtherInstances_count()
@@ -233,14 +245,25 @@
         return described;
     }
 
+    [[nodiscard]] CrashHistory::LostTarget lostTarget(const std::string &name) const
+    {
+        CrashHistory::LostTarget lost;
+        lost.life = { TargetName(name), 1 };
+        lost.address = target(name).address;
+        lost.rack = m_rack;
+        lost.busyRackTargets = m_busyRackTargets;
+        lost.lastAnsweredAt = m_now - std::chrono::milliseconds(200);
+        return lost;
+    }
+
     /// All @p tasks were started at the same time.
     void lose(const std::string &name, const std::vector<TaskName> &tasks)
     {
-        std::vector<CrashHistory::RunAtWork> runs;
+        CrashHistory::LostTarget lost = lostTarget(name);
         for (const TaskName &it : tasks) {
-            runs.push_back({ it, m_now });
+            lost.runs.push_back({ it, m_now });
         }
-        m_history.targetLost(target(name), 1, runs, m_now);
+        m_history.targetLost(lost, m_now);
     }
 
     TargetCrash crash(const std::string &name, const std::vector<TaskName> &tasks)
@@ -254,8 +277,9 @@
     /// kBystander has been at work for a second when kTask starts.
     void crashWithBystander(const std::string &name)
     {
-        m_history.targetLost(
-            target(name), 1, { { kBystander, m_now - std::chrono::seconds(1) }, { kTask, m_now } }, m_now);
+        CrashHistory::LostTarget lost = lostTarget(name);
+        lost.runs = { { kBystander, m_now - std::chrono::seconds(1) }, { kTask, m_now } };
+        m_history.targetLost(lost, m_now);
         CPPUNIT_ASSERT(m_history.targetAnswered(TargetName(name), 2, m_now));
     }
 
@@ -267,6 +291,7 @@
     CrashHistory m_history;
     Instant m_now {};
     std::string m_rack;
+    std::size_t m_busyRackTargets = 3;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashHistoryTest);
