Dispatch: once a task has lost two targets, others under suspicion wait

Caution is taken from evidence: a task that was started last on two lost targets. While it lasts (30 s after the last crash), tasks started last on a lost target wait until the cause is known. CrashHistoryTest.advice_anotherTaskHasLostTwoTargets_waitsForCause failed before.

--- a/include/eelgrasscleat/Dispatch/CrashHistory.h
+++ b/include/eelgrasscleat/Dispatch/CrashHistory.h
@@ -56,6 +56,10 @@
     /// A lost target that is neither back nor replaced after this time counts as lost for another cause, such as a
     /// network partition.
     Duration resolveTime = std::chrono::seconds(5);
+    /// Once a task has lost two targets right after its start, all tasks that were started last on a lost target wait
+    /// for the cause. This ends when no target has crashed for this long. Limits the damage of many crashing tasks,
+    /// each of which would cost a second target.
+    Duration cautionTime = std::chrono::seconds(30);
     /// Losses are kept for this long, so that a resubmission of the job meets them.
     Duration retention = std::chrono::seconds(120);
     /// Runs started within this time of the latest one count as started last, too: starts sent together may arrive in
@@ -155,12 +159,14 @@
 
     std::optional<TargetCrash> confirmCrash(const TargetLife &life, Loss &loss, Instant now);
     [[nodiscard]] bool hasCommonCause(const Loss &loss) const;
+    [[nodiscard]] bool hasLostAnother(const TaskName &task, const TargetLife &life) const;
     void add(const TargetLife &life, Loss loss);
     Losses::iterator remove(Losses::iterator it);
     Losses::iterator findOpen(const TargetName &target);
 
     CrashPolicy m_policy;
     Losses m_losses;
+    Instant m_cautiousUntil {};
     std::map<TaskName, std::vector<TargetLife>> m_byTask;
 };
 
--- a/lib/Dispatch/CrashHistory.cpp
+++ b/lib/Dispatch/CrashHistory.cpp
@@ -75,6 +75,27 @@
         loss.suspects.push_back({ it.task, latest - it.startedAt <= m_policy.startOrderTolerance });
     }
     add(target.life, std::move(loss));
+    const auto &suspects = m_losses.at(target.life).suspects;
+    const bool isRepeated = std::any_of(suspects.begin(), suspects.end(), [&](const CrashSuspect &it) {
+        return it.startedLast && hasLostAnother(it.task, target.life);
+    });
+    if (isRepeated) {
+        m_cautiousUntil = now + m_policy.cautionTime;
+    }
+}
+
+/// @returns whether the task was started last on a target other than @p life when that was lost, for a cause that may
+/// be the task.
+bool CrashHistory::hasLostAnother(const TaskName &task, const TargetLife &life) const
+{
+    const auto lives = m_byTask.find(task);
+    return lives != m_byTask.end()
+        && std::any_of(lives->second.begin(), lives->second.end(), [&](const TargetLife &it) {
+               const Loss &loss = m_losses.at(it);
+               const CrashSuspect suspect { task, true };
+               return it != life && loss.cause != Cause::Other
+                   && std::find(loss.suspects.begin(), loss.suspects.end(), suspect) != loss.suspects.end();
+           });
 }
 
 std::optional<TargetCrash>
@@ -117,6 +138,9 @@
     const bool commonCause = hasCommonCause(loss);
     loss.cause = commonCause ? Cause::Other : Cause::Crash;
     loss.recordedAt = now;
+    if (!commonCause && now < m_cautiousUntil) {
+        m_cautiousUntil = now + m_policy.cautionTime;
+    }
     return TargetCrash { life, loss.suspects, commonCause };
 }
 
@@ -205,6 +229,9 @@
     if (crashes >= m_policy.maxCrashes || crashesStartedLast >= m_policy.maxCrashesStartedLast) {
         return StartAdvice::GiveUp;
     }
+    if (now < m_cautiousUntil && openStartedLast > 0) {
+        return StartAdvice::Wait;
+    }
     if (crashes + open >= m_policy.maxCrashes || crashesStartedLast + openStartedLast >= m_policy.maxCrashesStartedLast
         || lives->second.size() >= m_policy.maxLosses) {
         return StartAdvice::Wait;
--- a/unittests/Dispatch/CrashHistoryTest.cpp
+++ b/unittests/Dispatch/CrashHistoryTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(advice_bystanderOfThreeCrashes_givesUp);
     CPPUNIT_TEST(advice_causesOfTwoLossesUnknown_waitsUntilResolved);
     CPPUNIT_TEST(advice_fourLossesOfUnknownCause_neverStartsAgain);
+    CPPUNIT_TEST(advice_anotherTaskHasLostTwoTargets_waitsForCause);
     CPPUNIT_TEST(targetAnswered_sameLifeAfterPartition_lossForgotten);
     CPPUNIT_TEST(targetAnswered_otherLife_isCrash);
     CPPUNIT_TEST(targetListed_laterLifeAtAddress_isCrash);
@@ -87,6 +88,20 @@
         CPPUNIT_ASSERT(advice(kTask) == StartAdvice::Wait);
     }
 
+    void advice_anotherTaskHasLostTwoTargets_waitsForCause()
+    {
+        const TaskName later { JobId("later"), 0, 0 };
+        lose("a", { kTask });
+        lose("b", { kTask });
+        lose("c", { later });
+        CPPUNIT_ASSERT(advice(later) == StartAdvice::Wait);
+        m_history.targetAnswered(TargetName("c"), 2, m_now);
+        CPPUNIT_ASSERT_MESSAGE("one crash is known", advice(later) == StartAdvice::Isolate);
+        m_now += CrashPolicy().cautionTime;
+        lose("d", { TaskName { JobId("last"), 0, 0 } });
+        CPPUNIT_ASSERT(advice({ JobId("last"), 0, 0 }) == StartAdvice::Isolate);
+    }
+
     void targetAnswered_sameLifeAfterPartition_lossForgotten()
     {
         lose("a", { kTask });
