Owners share attributed crashes through the store

Cause: the count lived in one process, so a resubmission at another owner, a restart of the owner or targets dealt anew started it at zero.

An owner writes each attributed crash as a record of its own (key: life of the target); all owners read them, newcomers from the list of newest records. Weighed: one record an instance (a late write could hide newer crashes, and grows with each), the statuses of peers (lost when all instances restart), the job's own messages (the home answers its caller and forgets). The owner removes the record after its retention, any other owner after twice that.

What it doesn't survive: an owner that dies after a target was lost and before the crash is confirmed, some seconds; that crash isn't counted.

Tests failed with publishing switched off: resubmission at other owners (three starts after three crashes), restart of the owner, targets dealt anew (four crashes).

--- a/include/eelgrasscleat/Dispatch/CrashHistory.h
+++ b/include/eelgrasscleat/Dispatch/CrashHistory.h
@@ -122,6 +122,8 @@
     /// Another instance has attributed a crash, or this one in an earlier life.
     /// @returns whether the crash was not known.
     bool learn(const TargetCrash &crash, Instant now);
+    /// Another instance has removed a published crash.
+    void forget(const TargetLife &target);
 
     /// @returns whether no task has been at work on a lost target.
     [[nodiscard]] bool isEmpty() const
@@ -131,8 +133,9 @@
     [[nodiscard]] StartAdvice advice(const TaskName &task, Instant now) const;
     /// @returns the number of crashes attributed to the task.
     [[nodiscard]] std::uint32_t crashes(const TaskName &task) const;
-    /// Forgets losses after their retention.
-    /// @returns the targets of forgotten crashes.
+    /// Forgets losses after their retention, and learned crashes after twice that: whoever has published a crash
+    /// removes it first.
+    /// @returns the targets of forgotten crashes, which need no longer be published.
     std::vector<TargetLife> advance(Instant now);
 
 private:
@@ -166,6 +169,7 @@
 
     CrashPolicy m_policy;
     Losses m_losses;
+    std::vector<TargetLife> m_forgotten; ///< Crashes forgotten since the last advance().
     Instant m_cautiousUntil {};
     std::map<TaskName, std::vector<TargetLife>> m_byTask;
 };
--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -98,6 +98,8 @@
     virtual void tokenFenced(FencingToken token, const TargetName &target) = 0;
     /// A target has crashed with tasks at work on it.
     virtual void targetCrashed(const TargetCrash &crash) = 0;
+    /// A crash that targetCrashed() or crashLearned() has told no longer matters.
+    virtual void crashForgotten(const TargetLife &target) = 0;
     /// The dispatcher's view of a target changed. For logs and counters.
     virtual void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail) = 0;
 };
@@ -119,7 +121,10 @@
     /// crashed.
     void targetListed(const DispatchTarget &target, Instant now);
     /// Another instance has attributed a crash to tasks, or this one in an earlier life.
-    void crashLearned(const TargetCrash &crash, Instant now);
+    /// @returns whether the crash was not known.
+    bool crashLearned(const TargetCrash &crash, Instant now);
+    /// Another instance has removed a published crash.
+    void crashWithdrawn(const TargetLife &target);
     /// Sets whether new runs may start on the target; false during a handover.
     void setAccepting(const TargetName &target, bool accepting);
     /// @returns whether no run can be active on the target.
--- a/include/eelgrasscleat/Node/Ports.h
+++ b/include/eelgrasscleat/Node/Ports.h
@@ -3,6 +3,7 @@
 /// them for one platform; tests use fakes.
 #pragma once
 
+#include <eelgrasscleat/Dispatch/CrashHistory.h>
 #include <eelgrasscleat/Dispatch/EvacuationView.h>
 #include <eelgrasscleat/Dispatch/FleetView.h>
 #include <eelgrasscleat/Dispatch/ZoneOwnership.h>
@@ -95,7 +96,11 @@
     virtual void registerInstance(const InstanceRegistration &instance) = 0;
     /// Removes the registration of this instance.
     virtual void deregisterInstance(const InstanceName &name, std::function<void()> done) = 0;
-    /// Starts or stops watching the targets of this instance's zone.
+    /// Writes a crash for all owners, present and later ones. Retries until the write has succeeded.
+    virtual void publishCrash(const TargetCrash &crash) = 0;
+    /// Removes a published crash. Not repeated: other owners remove it later.
+    virtual void withdrawCrash(const TargetLife &target) = 0;
+    /// Starts or stops watching the targets of this instance's zone and the crashes of all zones.
     virtual void watchTargets(bool watch) = 0;
     /// Joins the zone's group, or renews the membership. After an error it is unknown whether the call took effect.
     virtual void renewMembership(std::uint64_t generation,
@@ -118,6 +123,9 @@
     virtual void targetRemoved(const TargetName &target) = 0;
     /// The complete list of the zone's targets was read.
     virtual void targetListReceived(const std::vector<DispatchTarget> &targets) = 0;
+    /// An owner has published a crash.
+    virtual void crashPublished(const TargetCrash &crash) = 0;
+    virtual void crashWithdrawn(const TargetLife &target) = 0;
     virtual void instanceUpdated(const InstanceRegistration &instance) = 0;
     virtual void instanceRemoved(const InstanceName &name) = 0;
     /// A record could not be parsed and was skipped.
--- a/lib/Dispatch/CrashHistory.cpp
+++ b/lib/Dispatch/CrashHistory.cpp
@@ -3,7 +3,9 @@
 #include <eelgrasscleat/Dispatch/CrashHistory.h>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
+#include <utility>
 
 namespace Eelgrasscleat
 {
@@ -39,6 +41,9 @@
             m_byTask.erase(task);
         }
     }
+    if (it->second.cause == Cause::Crash) {
+        m_forgotten.push_back(it->first);
+    }
     return m_losses.erase(it);
 }
 
@@ -191,6 +196,15 @@
     return true;
 }
 
+void CrashHistory::forget(const TargetLife &target)
+{
+    const auto it = m_losses.find(target);
+    if (it != m_losses.end() && it->second.cause == Cause::Crash) {
+        remove(it);
+        std::erase(m_forgotten, target);
+    }
+}
+
 std::uint32_t CrashHistory::crashes(const TaskName &task) const
 {
     const auto lives = m_byTask.find(task);
@@ -241,18 +255,12 @@
 
 std::vector<TargetLife> CrashHistory::advance(Instant now)
 {
-    std::vector<TargetLife> forgotten;
     for (auto it = m_losses.begin(); it != m_losses.end();) {
-        if (now - it->second.recordedAt < m_policy.retention) {
-            ++it;
-            continue;
-        }
-        if (it->second.cause == Cause::Crash) {
-            forgotten.push_back(it->first);
-        }
-        it = remove(it);
+        const bool isLearned = it->second.address.empty();
+        const Duration retention = isLearned ? 2 * m_policy.retention : m_policy.retention;
+        it = now - it->second.recordedAt < retention ? std::next(it) : remove(it);
     }
-    return forgotten;
+    return std::exchange(m_forgotten, {});
 }
 
 } // namespace Eelgrasscleat
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -311,7 +311,9 @@
     std::erase_if(m_recentJobs, [&](const auto &it) {
         return it.second.stoppingRuns == 0 && now - it.second.lastUsedAt > kRecentJobRetention;
     });
-    m_crashes.advance(now);
+    for (const TargetLife &it : m_crashes.advance(now)) {
+        m_observer.crashForgotten(it);
+    }
     placeWaiting(now);
 }
 
@@ -378,10 +380,15 @@
     m_impl->targetListed(target, now);
 }
 
-void Dispatcher::crashLearned(const TargetCrash &crash, Instant now)
+bool Dispatcher::crashLearned(const TargetCrash &crash, Instant now)
 {
     m_impl->m_lastNow = now;
-    m_impl->crashLearned(crash, now);
+    return m_impl->crashLearned(crash, now);
+}
+
+void Dispatcher::crashWithdrawn(const TargetLife &target)
+{
+    m_impl->crashWithdrawn(target);
 }
 
 void Dispatcher::setAccepting(const TargetName &target, bool accepting)
--- a/lib/Dispatch/DispatcherCrashes.cpp
+++ b/lib/Dispatch/DispatcherCrashes.cpp
@@ -77,11 +77,18 @@
     }
 }
 
-void Dispatcher::Impl::crashLearned(const TargetCrash &crash, Instant now)
+bool Dispatcher::Impl::crashLearned(const TargetCrash &crash, Instant now)
 {
-    if (m_crashes.learn(crash, now)) {
+    const bool isNew = m_crashes.learn(crash, now);
+    if (isNew) {
         giveUpSuspects(crash, now);
     }
+    return isNew;
+}
+
+void Dispatcher::Impl::crashWithdrawn(const TargetLife &target)
+{
+    m_crashes.forget(target);
 }
 
 /// Ends the jobs of tasks that crash their targets.
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -43,7 +43,8 @@
     void targetOwned(const DispatchTarget &target, FencingToken token, Instant now);
     void targetReleased(const TargetName &target, Instant now);
     void targetListed(const DispatchTarget &target, Instant now);
-    void crashLearned(const TargetCrash &crash, Instant now);
+    bool crashLearned(const TargetCrash &crash, Instant now);
+    void crashWithdrawn(const TargetLife &target);
     void startAnswered(const TargetName &name, const RunName &run, const CommandResult &result, Instant now);
     void stopAnswered(const TargetName &name, const RunName &run, const CommandResult &result, Instant now);
     void inspected(const TargetName &name,
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -364,6 +364,21 @@
     runDeferredCalls();
 }
 
+void DispatchNode::Impl::crashPublished(const TargetCrash &crash)
+{
+    beginEvent();
+    if (m_dispatcher.crashLearned(crash, m_now)) {
+        m_log.targetChanged("crash_learned", crash.target.name, crash.suspects.size(), m_now);
+    }
+    runDeferredCalls();
+}
+
+void DispatchNode::Impl::crashWithdrawn(const TargetLife &target)
+{
+    beginEvent();
+    m_dispatcher.crashWithdrawn(target);
+}
+
 void DispatchNode::Impl::instanceUpdated(const InstanceRegistration &instance)
 {
     beginEvent();
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -42,6 +42,8 @@
     void targetUpdated(const DispatchTarget &target) override;
     void targetRemoved(const TargetName &target) override;
     void targetListReceived(const std::vector<DispatchTarget> &targets) override;
+    void crashPublished(const TargetCrash &crash) override;
+    void crashWithdrawn(const TargetLife &target) override;
     void instanceUpdated(const InstanceRegistration &instance) override;
     void instanceRemoved(const InstanceName &name) override;
     void recordRejected(const Error &error) override;
@@ -80,6 +82,7 @@
     void runDecided(std::string_view decision, const RunName &run, const TargetName &target, double detail) override;
     void tokenFenced(FencingToken token, const TargetName &target) override;
     void targetCrashed(const TargetCrash &crash) override;
+    void crashForgotten(const TargetLife &target) override;
     void targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail) override;
 
 private:
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -181,6 +181,14 @@
 void DispatchNode::Impl::targetCrashed(const TargetCrash &crash)
 {
     m_log.targetCrashed(crash, m_now);
+    if (!crash.commonCause) {
+        m_store->publishCrash(crash);
+    }
+}
+
+void DispatchNode::Impl::crashForgotten(const TargetLife &target)
+{
+    m_store->withdrawCrash(target);
 }
 
 void DispatchNode::Impl::targetChanged(std::string_view change, const TargetName &target, std::uint64_t detail)
--- a/unittests/CrashingTasks/CrashingFleet.h
+++ b/unittests/CrashingTasks/CrashingFleet.h
@@ -19,6 +19,8 @@
     static inline const InstanceName kHome { "home" };
     /// A list entry is removed after three missed heartbeats.
     static constexpr Duration kEntryLifetime = std::chrono::milliseconds(4500);
+    /// Until a published crash is read by the other owners.
+    static constexpr Duration kPublishTime = std::chrono::milliseconds(120);
 
     explicit CrashingFleet(std::size_t owners = 1, std::size_t targets = 12)
         : fleet(queue, 1)
@@ -59,6 +61,33 @@
         return request;
     }
 
+    /// Replaces an owner by its next life, which knows only what was published.
+    void restartOwner(std::size_t owner)
+    {
+        m_owners[owner] = std::make_unique<Owner>(*this);
+        for (const TargetCrash &it : m_published) {
+            dispatcher(owner).crashLearned(it, queue.now());
+        }
+        ++m_token;
+        for (const FakeTarget &it : fleet.targets) {
+            if (m_ownerOf.at(it.description.address) == owner) {
+                own(owner, it.description);
+            }
+        }
+    }
+
+    /// The zone's targets are dealt anew: those of one owner go to another.
+    void moveTargets(std::size_t from, std::size_t to)
+    {
+        ++m_token;
+        for (const FakeTarget &it : fleet.targets) {
+            if (m_ownerOf.at(it.description.address) == from) {
+                dispatcher(from).targetReleased(it.description.name, queue.now());
+                own(to, it.description);
+            }
+        }
+    }
+
     void submit(const JobRequest &request, std::size_t owner = 0)
     {
         JobRequest copy = request;
@@ -124,7 +153,13 @@
         void tokenFenced(FencingToken, const TargetName &) override
         {
         }
-        void targetCrashed(const TargetCrash &) override
+        void targetCrashed(const TargetCrash &crash) override
+        {
+            if (!crash.commonCause) {
+                parent.publish(crash);
+            }
+        }
+        void crashForgotten(const TargetLife &) override
         {
         }
         void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
@@ -139,7 +174,17 @@
     void own(std::size_t owner, const DispatchTarget &target)
     {
         m_ownerOf[target.address] = owner;
-        m_owners[owner]->dispatcher->targetOwned(target, FencingToken(1), queue.now());
+        m_owners[owner]->dispatcher->targetOwned(target, FencingToken(m_token), queue.now());
+    }
+
+    void publish(const TargetCrash &crash)
+    {
+        m_published.push_back(crash);
+        queue.after(kPublishTime, [this, crash] {
+            for (const auto &it : m_owners) {
+                it->dispatcher->crashLearned(crash, queue.now());
+            }
+        });
     }
 
     void returned(const TargetName &before, const DispatchTarget &target)
@@ -166,6 +211,8 @@
 
     std::vector<std::unique_ptr<Owner>> m_owners;
     std::map<std::string, std::size_t> m_ownerOf; ///< By address.
+    std::vector<TargetCrash> m_published;
+    std::uint64_t m_token = 1;
     std::uint64_t m_lastTicket = 0;
 };
 
--- a/unittests/CrashingTasks/CrashingTasksTest.cpp
+++ b/unittests/CrashingTasks/CrashingTasksTest.cpp
@@ -13,6 +13,10 @@
     CPPUNIT_TEST(task_crashesTargetsThatReturnUnderOtherNames_failsAfterTwo);
     CPPUNIT_TEST(task_crashesTargetsThatReturnAtOnce_failsAfterThree);
     CPPUNIT_TEST(job_resubmittedWhileItCrashesTargets_countContinues);
+    CPPUNIT_TEST(job_resubmittedAtOtherOwners_countContinues);
+    CPPUNIT_TEST(owner_restartsBetweenCrashes_countContinues);
+    CPPUNIT_TEST(targets_moveToOtherOwnerBetweenCrashes_countContinues);
+    CPPUNIT_TEST(job_partsAtTwoOwners_crashingPartFails);
     CPPUNIT_TEST(task_onCrashedTarget_restartsAfterLease);
     CPPUNIT_TEST(task_targetsCutOffTwice_completesElsewhere);
     CPPUNIT_TEST(tasks_racksLosePowerInTurn_completeElsewhere);
@@ -53,6 +57,60 @@
         CPPUNIT_ASSERT(m_fleet.ends.at(JobId("job")).outcome == JobOutcome::Failed);
     }
 
+    void job_resubmittedAtOtherOwners_countContinues()
+    {
+        CrashingFleet fleet(3, 12);
+        const JobRequest request = fleet.job("job", 4, 1);
+        for (std::size_t i = 0; i < 9; ++i) {
+            fleet.submit(request, i % 3);
+            fleet.run(std::chrono::milliseconds(1500));
+            fleet.dispatcher(i % 3).homeLost(CrashingFleet::kHome, fleet.queue.now());
+            fleet.run(std::chrono::milliseconds(1300));
+        }
+        assertGivenUp(fleet);
+    }
+
+    void owner_restartsBetweenCrashes_countContinues()
+    {
+        const JobRequest request = m_fleet.job("job", 4, 1);
+        for (int i = 0; i < 6; ++i) {
+            m_fleet.submit(request);
+            m_fleet.run(std::chrono::milliseconds(3700));
+            m_fleet.restartOwner(0);
+            m_fleet.run(std::chrono::milliseconds(1300));
+        }
+        assertGivenUp(m_fleet);
+    }
+
+    void targets_moveToOtherOwnerBetweenCrashes_countContinues()
+    {
+        CrashingFleet fleet(2, 12);
+        const JobRequest request = fleet.job("job", 4, 1);
+        for (std::size_t i = 0; i < 6; ++i) {
+            fleet.submit(request, i % 2);
+            fleet.run(std::chrono::milliseconds(3700));
+            fleet.moveTargets(i % 2, 1 - i % 2);
+            fleet.run(std::chrono::milliseconds(1300));
+        }
+        assertGivenUp(fleet);
+    }
+
+    void job_partsAtTwoOwners_crashingPartFails()
+    {
+        CrashingFleet fleet(2, 12);
+        JobRequest request = fleet.job("job", 8, 2);
+        request.steps[0].tasks = 1;
+        fleet.submit(request, 0);
+        request.steps[0].firstTask = 1;
+        request.steps[0].tasks = 7;
+        fleet.submit(request, 1);
+        fleet.run(std::chrono::seconds(12));
+        CPPUNIT_ASSERT(fleet.fleet.violations().empty());
+        CPPUNIT_ASSERT_EQUAL(2U, fleet.crashes("job", 0));
+        CPPUNIT_ASSERT_EQUAL(2U, fleet.crashes("job", 1));
+        CPPUNIT_ASSERT(fleet.ends.at(JobId("job")).outcome == JobOutcome::Failed);
+    }
+
     void task_onCrashedTarget_restartsAfterLease()
     {
         m_fleet.submit(m_fleet.job("job", 1));
@@ -160,6 +218,15 @@
     }
 
 private:
+    /// The job "job" is given up at last, and before its fourth crash.
+    static void assertGivenUp(CrashingFleet &fleet)
+    {
+        const auto &violations = fleet.fleet.violations();
+        CPPUNIT_ASSERT_MESSAGE(violations.empty() ? "" : violations.front(), violations.empty());
+        CPPUNIT_ASSERT_LESSEQUAL(3U, fleet.crashes("job"));
+        CPPUNIT_ASSERT(fleet.ends.at(JobId("job")).outcome == JobOutcome::Failed);
+    }
+
     /// @returns a reachable target with a run, which must come within 2 s.
     FakeTarget &awaitBusyTarget()
     {
--- a/unittests/Dispatch/CrashHistoryTest.cpp
+++ b/unittests/Dispatch/CrashHistoryTest.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(learn_crashesOfOtherInstances_count);
     CPPUNIT_TEST(learn_crashAlreadyKnown_countsOnce);
     CPPUNIT_TEST(advance_afterRetention_forgets);
+    CPPUNIT_TEST(advance_learnedCrash_keptTwiceAsLong);
+    CPPUNIT_TEST(forget_withdrawnCrash_notReportedAgain);
     CPPUNIT_TEST(targetLost_aboveMaximum_oldestForgotten);
     CPPUNIT_TEST_SUITE_END();
 
@@ -233,6 +235,24 @@
         CPPUNIT_ASSERT(advice(kTask) == StartAdvice::Start);
     }
 
+    void advance_learnedCrash_keptTwiceAsLong()
+    {
+        m_history.learn({ { TargetName("a"), 1 }, { { kTask, true } } }, m_now);
+        m_now += CrashPolicy().retention;
+        CPPUNIT_ASSERT(m_history.advance(m_now).empty());
+        CPPUNIT_ASSERT_EQUAL(1U, m_history.crashes(kTask));
+        m_now += CrashPolicy().retention;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_history.advance(m_now).size());
+    }
+
+    void forget_withdrawnCrash_notReportedAgain()
+    {
+        crash("a", { kTask });
+        m_history.forget({ TargetName("a"), 1 });
+        CPPUNIT_ASSERT_EQUAL(0U, m_history.crashes(kTask));
+        CPPUNIT_ASSERT(m_history.advance(m_now + CrashPolicy().retention).empty());
+    }
+
     void targetLost_aboveMaximum_oldestForgotten()
     {
         CrashPolicy policy;
--- a/unittests/Dispatch/DividedFleet.h
+++ b/unittests/Dispatch/DividedFleet.h
@@ -123,6 +123,9 @@
         void targetCrashed(const TargetCrash &) override
         {
         }
+        void crashForgotten(const TargetLife &) override
+        {
+        }
         void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
         {
         }
--- a/unittests/Dispatch/LoadedZone.h
+++ b/unittests/Dispatch/LoadedZone.h
@@ -114,6 +114,9 @@
     void targetCrashed(const TargetCrash &) override
     {
     }
+    void crashForgotten(const TargetLife &) override
+    {
+    }
     void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
     {
     }
--- a/unittests/Node/DispatchNodeTest.cpp
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -68,6 +68,13 @@
     void watchTargets(bool) override
     {
     }
+    void publishCrash(const TargetCrash &crash) override
+    {
+        published.push_back(crash);
+    }
+    void withdrawCrash(const TargetLife &) override
+    {
+    }
     void renewMembership(std::uint64_t,
                          std::chrono::milliseconds,
                          std::function<void(Result<MembershipAnswer>)> done) override
@@ -78,6 +85,8 @@
     {
         done(Done {});
     }
+
+    std::vector<TargetCrash> published;
 };
 
 /// Targets that accept all commands. Runs end when the test reports so.
@@ -122,6 +131,8 @@
     CPPUNIT_TEST(request_beforeConfiguration_refusedWithNoConfiguration);
     CPPUNIT_TEST(evacuation_ownZone_jobsRefusedAndStartsEnd);
     CPPUNIT_TEST(evacuation_takenBack_jobsServedAgain);
+    CPPUNIT_TEST(crash_ofOwnedTarget_published);
+    CPPUNIT_TEST(crashes_publishedByOtherOwners_jobFails);
     CPPUNIT_TEST(stop_jobOpen_callerAnsweredBeforeExit);
     CPPUNIT_TEST(stop_jobReceivedDuringShutdown_answeredBeforeExit);
     CPPUNIT_TEST_SUITE_END();
@@ -221,6 +232,37 @@
         });
     }
 
+    void crash_ofOwnedTarget_published()
+    {
+        waitUntilReady();
+        submit(1);
+        TargetReport restarted;
+        restarted.incarnation = 5;
+        m_targets.report(restarted);
+        EventLoop::waitFor([this] { return !m_targets.inspections.empty(); });
+        restarted.incarnation = 6;
+        m_targets.report(restarted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_store.published.size());
+        CPPUNIT_ASSERT(m_store.published[0].suspects.at(0).task == m_targets.started[0].task);
+    }
+
+    void crashes_publishedByOtherOwners_jobFails()
+    {
+        waitUntilReady();
+        submit(1);
+        const TaskName task = m_targets.started.at(0).task;
+        for (const char *it : { "other-1", "other-2" }) {
+            m_node->storeEvents().crashPublished({ { TargetName(it), 1 }, { { task, true } } });
+        }
+        CPPUNIT_ASSERT(m_callers.ends.at(1).outcome == JobOutcome::Failed);
+        CPPUNIT_ASSERT(m_callers.ends.at(1).reason == JobEndReason::TargetsCrashed);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("its run is stopped", std::size_t { 1 }, m_targets.stopped.size());
+        m_node->callerEvents().callerDisconnected(CallerId(1));
+        submit(1);
+        CPPUNIT_ASSERT_MESSAGE("resubmitted", m_callers.ends.at(1).outcome == JobOutcome::Failed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_targets.started.size());
+    }
+
     void stop_jobOpen_callerAnsweredBeforeExit()
     {
         waitUntilReady();
--- a/unittests/PlatformAdapter/RecordsTest.cpp
+++ b/unittests/PlatformAdapter/RecordsTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(configuration_damaged_namedError);
     CPPUNIT_TEST(records_encoded_decodedAgain);
     CPPUNIT_TEST(records_cutShort_error);
+    CPPUNIT_TEST(crash_damaged_namedError);
     CPPUNIT_TEST(task_text_parsedAgain);
     CPPUNIT_TEST(task_foreignText_nothing);
     CPPUNIT_TEST(order_answers_decoded);
@@ -165,6 +166,18 @@
         }
     }
 
+    void crash_damaged_namedError()
+    {
+        const std::string key = crashKey({ TargetName("i-1"), 17 });
+        CPPUNIT_ASSERT(isOk(decodeCrash(key, R"({"tasks":[["5c0e7a21d94b36f8.0.1.17",true]]})")));
+        for (const char *it : { "", "i-1", "/i-1", "x/i-1", "17/" }) {
+            CPPUNIT_ASSERT_MESSAGE(it, !isOk(decodeCrash(it, R"({"tasks":[]})")));
+        }
+        for (const char *it : { "", "{}", R"({"tasks":7})", R"({"tasks":[7]})", R"({"tasks":[["no task",true]]})" }) {
+            CPPUNIT_ASSERT_MESSAGE(it, !isOk(decodeCrash(key, it)));
+        }
+    }
+
     void task_text_parsedAgain()
     {
         const TaskName task { JobId("5c0e7a21d94b36f8"), 1, 17 };
--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(membership_partitionsListed_areShards);
     CPPUNIT_TEST(membership_storeSilent_errorInTime);
     CPPUNIT_TEST(announce_storeRefuses_writtenLater);
+    CPPUNIT_TEST(crash_published_readByPresentAndLaterOwners);
+    CPPUNIT_TEST(crash_storeRefuses_publishedLater);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -201,6 +203,34 @@
         EventLoop::waitFor([this] { return m_instances == 1; });
     }
 
+    void crash_published_readByPresentAndLaterOwners()
+    {
+        const TargetCrash crash { { TargetName("i-1"), 1700000000123 },
+                                  { { { JobId("5c0e7a21d94b36f8"), 0, 17 }, true } } };
+        m_client->watchTargets(true);
+        EventLoop::waitFor([this] { return m_stand->lists >= 2; });
+        m_client->publishCrash(crash);
+        EventLoop::waitFor([this] { return m_crashes.size() == 1; });
+        CPPUNIT_ASSERT(m_crashes[0] == crash);
+        m_client->watchTargets(false);
+        m_client->watchTargets(true);
+        EventLoop::waitFor([this] { return m_crashes.size() == 2; });
+        CPPUNIT_ASSERT(m_crashes[1] == crash);
+        m_client->withdrawCrash(crash.target);
+        EventLoop::waitFor([this] { return m_withdrawn.size() == 1; });
+        CPPUNIT_ASSERT(m_withdrawn[0] == crash.target);
+    }
+
+    void crash_storeRefuses_publishedLater()
+    {
+        m_stand->refuses = true;
+        m_client->publishCrash({ { TargetName("i-1"), 1 }, {} });
+        m_client->watchTargets(true);
+        EventLoop::waitFor([this] { return m_lost == 1; });
+        m_stand->refuses = false;
+        EventLoop::waitFor([this] { return !m_crashes.empty(); });
+    }
+
 private:
     void configurationReceived(FleetConfiguration configuration) override
     {
@@ -227,6 +257,14 @@
     {
         m_listed = targets;
     }
+    void crashPublished(const TargetCrash &crash) override
+    {
+        m_crashes.push_back(crash);
+    }
+    void crashWithdrawn(const TargetLife &target) override
+    {
+        m_withdrawn.push_back(target);
+    }
     void instanceUpdated(const InstanceRegistration &) override
     {
         ++m_instances;
@@ -272,6 +310,8 @@
     std::vector<DispatchTarget> m_listed;
     std::vector<TargetName> m_updated;
     std::vector<TargetName> m_removed;
+    std::vector<TargetCrash> m_crashes;
+    std::vector<TargetLife> m_withdrawn;
     int m_rejected = 0;
     int m_instances = 0;
     int m_lost = 0;
