Targets: a new life isn't used before its description is listed; jobs that fit no target any more are refused

- A restarted target got starts by the capacity of its previous life, which may have been larger, until its new list entry came.
Now it isn't used before.
Cost: with the store away, a target that restarts under its name stays unused until the store is back.
- A job whose tasks no longer fit any target, because targets had shrunk, waited until its deadline.
It is refused at once, not run, so that its home tries other owners.

OwnerScheduleTest now tells owners of restarted targets by the list, as the platform does; its checks are as before.

--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -113,6 +113,13 @@
     terminateJob(job, JobOutcome::Refused, JobEndReason::TooLate, now);
 }
 
+bool Dispatcher::Impl::hasSuitableTargets(const JobRequest &request) const
+{
+    return std::all_of(request.steps.begin(), request.steps.end(), [&](const JobStep &it) {
+        return m_selector.hasSuitableTarget(request.service, it);
+    });
+}
+
 void Dispatcher::Impl::submit(const JobOrigin &origin, JobRequest request, Instant now)
 {
     if (ActiveJob *earlier = m_jobTable.findById(request.id)) {
@@ -128,11 +135,9 @@
         return;
     }
     m_jobTable.recordArrival(request, now);
-    for (const JobStep &it : request.steps) {
-        if (!m_selector.hasSuitableTarget(request.service, it)) {
-            refuse(origin, id, JobEndReason::NoSuitableTarget, kMaxRetryDelay);
-            return;
-        }
+    if (!hasSuitableTargets(request)) {
+        refuse(origin, id, JobEndReason::NoSuitableTarget, kMaxRetryDelay);
+        return;
     }
     if (m_jobTable.queuedWork(request.priority).tasks >= m_policy.maxQueuedTasks) {
         refuse(origin, id, JobEndReason::QueueFull, expectedWait(request, now));
@@ -270,10 +275,13 @@
 {
     std::vector<ActiveJob *> late;
     std::vector<ActiveJob *> unachievable;
+    std::vector<ActiveJob *> unsuitable;
     for (const auto &it : m_jobTable.jobs()) {
         ActiveJob &job = *it.second;
         if (now >= job.request.deadline) {
             late.push_back(&job);
+        } else if (job.possibleRuns == 0 && !hasSuitableTargets(job.request)) {
+            unsuitable.push_back(&job);
         } else if (job.possibleRuns == 0 && now + remainingWait(job, now) + job.criticalPath > job.usefulUntil) {
             unachievable.push_back(&job);
         }
@@ -282,6 +290,9 @@
         const JobOutcome outcome = it->possibleRuns > 0 ? JobOutcome::Expired : JobOutcome::Refused;
         terminateJob(*it, outcome, JobEndReason::DeadlinePassed, now);
     }
+    for (ActiveJob *it : unsuitable) {
+        terminateJob(*it, JobOutcome::Refused, JobEndReason::NoSuitableTarget, now);
+    }
     for (ActiveJob *it : unachievable) {
         refuseTooLate(*it, remainingWait(*it, now), now);
     }
@@ -374,23 +385,6 @@
     m_impl->targetReleased(target, now);
 }
 
-void Dispatcher::targetListed(const DispatchTarget &target, Instant now)
-{
-    m_impl->m_lastNow = now;
-    m_impl->targetListed(target, now);
-}
-
-bool Dispatcher::crashLearned(const TargetCrash &crash, Instant now)
-{
-    m_impl->m_lastNow = now;
-    return m_impl->crashLearned(crash, now);
-}
-
-void Dispatcher::crashWithdrawn(const TargetLife &target)
-{
-    m_impl->crashWithdrawn(target);
-}
-
 void Dispatcher::setAccepting(const TargetName &target, bool accepting)
 {
     const auto it = m_impl->m_targets.find(target);
@@ -437,23 +431,6 @@
     m_impl->homeLost(home, now);
 }
 
-void Dispatcher::drain(Instant until, Instant now)
-{
-    m_impl->m_lastNow = now;
-    m_impl->drain(until, now);
-}
-
-void Dispatcher::evacuate(Instant lastStart, Instant now)
-{
-    m_impl->m_lastNow = now;
-    m_impl->evacuate(lastStart, now);
-}
-
-void Dispatcher::endEvacuation()
-{
-    m_impl->endEvacuation();
-}
-
 bool Dispatcher::isDrained() const
 {
     return m_impl->m_jobTable.jobs().empty()
--- a/lib/Dispatch/DispatcherClosing.cpp
+++ b/lib/Dispatch/DispatcherClosing.cpp
@@ -61,4 +61,21 @@
     return !m_lastStartAt || now <= *m_lastStartAt;
 }
 
+void Dispatcher::drain(Instant until, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->drain(until, now);
+}
+
+void Dispatcher::evacuate(Instant lastStart, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->evacuate(lastStart, now);
+}
+
+void Dispatcher::endEvacuation()
+{
+    m_impl->endEvacuation();
+}
+
 } // namespace Eelgrasscleat
--- a/lib/Dispatch/DispatcherCrashes.cpp
+++ b/lib/Dispatch/DispatcherCrashes.cpp
@@ -119,4 +119,21 @@
     return false;
 }
 
+void Dispatcher::targetListed(const DispatchTarget &target, Instant now)
+{
+    m_impl->m_lastNow = now;
+    m_impl->targetListed(target, now);
+}
+
+bool Dispatcher::crashLearned(const TargetCrash &crash, Instant now)
+{
+    m_impl->m_lastNow = now;
+    return m_impl->crashLearned(crash, now);
+}
+
+void Dispatcher::crashWithdrawn(const TargetLife &target)
+{
+    m_impl->crashWithdrawn(target);
+}
+
 } // namespace Eelgrasscleat
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -79,6 +79,7 @@
     [[nodiscard]] Duration expectedWait(const JobRequest &request, Instant now);
     [[nodiscard]] Duration queueWait(std::uint32_t priority, double arrivingRate, Instant now) const;
     [[nodiscard]] Duration remainingWait(const ActiveJob &job, Instant now) const;
+    [[nodiscard]] bool hasSuitableTargets(const JobRequest &request) const;
     void refuseTooLate(ActiveJob &job, Duration wait, Instant now);
     [[nodiscard]] double serviceRate(Instant now) const;
     void placeWaiting(Instant now);
--- a/lib/Dispatch/TargetSelector.cpp
+++ b/lib/Dispatch/TargetSelector.cpp
@@ -35,7 +35,8 @@
 bool TargetSelector::isUsable(const OwnedTarget &target, Instant now) const
 {
     const TargetTracker &tracker = target.tracker;
-    const bool known = tracker.inspected && tracker.reachable && !tracker.fenced && tracker.hasClock();
+    const bool known =
+        tracker.inspected && tracker.reachable && !tracker.fenced && tracker.hasClock() && tracker.isDescribed();
     if (!known || !target.accepting || tracker.target().draining || tracker.pausedUntil > now) {
         return false;
     }
--- a/lib/Dispatch/TargetTracker.h
+++ b/lib/Dispatch/TargetTracker.h
@@ -115,6 +115,11 @@
     /// @returns the capacity not reserved by any run; none while a run of unknown demand is active.
     [[nodiscard]] ResourceDemand freeCapacity() const;
     [[nodiscard]] bool hasIsolatedRun() const;
+    /// @returns whether the description is that of the present incarnation. The next one may have another capacity.
+    [[nodiscard]] bool isDescribed() const
+    {
+        return m_target.incarnation == 0 || m_target.incarnation >= m_incarnation;
+    }
     [[nodiscard]] const DispatchTarget &target() const
     {
         return m_target;
--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -238,6 +238,14 @@
     if (task.crashedTargets >= kTolerated && ++task.startsAfterThreeCrashes == kTolerated) {
         m_violations.push_back("started three times after three crashes: " + describe(run));
     }
+    std::uint32_t used = 0;
+    for (const auto &it : target.running) {
+        used += it.second.demand.milliCores;
+    }
+    // A target that has shrunk may still run more than its capacity, but nothing new.
+    if (used > target.description.capacity.milliCores) {
+        m_violations.push_back("capacity exceeded: " + target.description.name.value);
+    }
     if (task.crashes) {
         ++task.crashedTargets;
         crash(target);
@@ -249,16 +257,11 @@
     std::map<TaskName, int> activeRuns;
     for (FakeTarget &target : targets) {
         target.advance(m_queue.now());
-        std::uint32_t used = 0;
         for (const auto &it : target.running) {
-            used += it.second.demand.milliCores;
             if (++activeRuns[it.first.task] > 1) {
                 m_violations.push_back("task running twice: " + describe(it.first));
             }
         }
-        if (used > target.description.capacity.milliCores) {
-            m_violations.push_back("capacity exceeded: " + target.description.name.value);
-        }
     }
 }
 
--- a/unittests/Dispatch/OwnerScheduleTest.cpp
+++ b/unittests/Dispatch/OwnerScheduleTest.cpp
@@ -65,6 +65,7 @@
     FakeTargetCommands commands;
     Dispatcher dispatcher;
     bool reachable = true; ///< The home instance and this owner can communicate.
+    FencingToken token; ///< None before it has owned targets.
 };
 
 /// A randomized schedule of submissions and faults.
@@ -147,6 +148,7 @@
 
     void own(Owner &owner, FencingToken token)
     {
+        owner.token = token;
         for (const FakeTarget &it : m_fleet.targets) {
             owner.dispatcher.targetOwned(it.description, token, m_queue.now());
         }
@@ -247,13 +249,29 @@
         constexpr int kRestarts = 8;
         for (int i = 0; i < kRestarts; ++i) {
             m_queue.after(when(), [this] {
-                m_fleet.targets[drawBelow(m_fleet.random, m_fleet.targets.size())].restart(m_queue.now());
+                const std::size_t index = drawBelow(m_fleet.random, m_fleet.targets.size());
+                m_fleet.targets[index].restart(m_queue.now());
+                listRestarted(m_first, index);
+                listRestarted(m_second, index);
             });
         }
         m_queue.after(when(), [this] { m_fleet.targets[0].hangs = true; });
         m_queue.after(when(), [this] { m_fleet.targets[1].failsAll = true; });
     }
 
+    /// The target's new entry in the list reaches an owner, a frozen one later.
+    void listRestarted(Owner &owner, std::size_t index)
+    {
+        constexpr Duration kListDelay = std::chrono::milliseconds(300);
+        m_queue.after(kListDelay, [this, &owner, index] {
+            if (owner.commands.frozen) {
+                listRestarted(owner, index);
+            } else if (!owner.token.isNone()) {
+                owner.dispatcher.targetOwned(m_fleet.targets[index].description, owner.token, m_queue.now());
+            }
+        });
+    }
+
     /// The first owner freezes, loses the connection to its home instance, to that and its targets, or loses its
     /// ownership without a handover.
     void loseOwner(std::uint64_t kind)
