Crashes: a task is the likely cause only if its start was confirmed and the target closed its connections

Callers could have been told failed for a task that crashed nothing. Cause: startedLast alone said nothing of whether the task was at work when the target went down.

Why it works: a confirmed start and closed connections date the crash to the run. Crashes without them count towards the limit of three, so the rule's bound stays: a task whose targets fall silent, or die before they answer, is given up after three. Ruled out: not counting them at all (BUDGET would be broken by such tasks).

One more of the same class: runs that a command for another life finds dead (421) were abandoned with their jobs (502); they restart elsewhere (task_otherTargetAnswersAtItsAddress_restartsElsewhere failed before).

--- a/include/eelgrasscleat/Dispatch/CrashHistory.h
+++ b/include/eelgrasscleat/Dispatch/CrashHistory.h
@@ -32,6 +32,9 @@
     TaskName task;
     /// Was among the tasks started last, which are the most likely cause: they had not proven harmless yet.
     bool startedLast = false;
+    /// Besides, the target had confirmed the start, and then closed its connections. Otherwise the target may have been
+    /// lost before the start, or may have been cut off first and crashed later.
+    bool isLikely = false;
     bool operator==(const CrashSuspect &) const = default;
 };
 
@@ -47,8 +50,8 @@
 /// Thresholds of a crash history.
 struct CrashPolicy
 {
-    /// A task is given up after this many crashes for which it was started last.
-    std::uint32_t maxCrashesStartedLast = 2;
+    /// A task is given up after this many crashes of which it is the likely cause.
+    std::uint32_t maxLikelyCrashes = 2;
     /// A task is given up after this many crashes in any case.
     std::uint32_t maxCrashes = 3;
     /// A task isn't started again after it has lost its target this often, whatever the causes.
@@ -91,6 +94,7 @@
     {
         TaskName task;
         Instant startedAt;
+        bool isConfirmed = false; ///< The target has confirmed the start.
     };
 
     explicit CrashHistory(const CrashPolicy &policy = {});
@@ -103,6 +107,7 @@
         std::string rack;
         std::size_t busyRackTargets = 0; ///< Targets of the rack that had runs, this one included.
         Instant lastAnsweredAt; ///< It was lost between then and now.
+        bool closedConnections = false; ///< It did, rather than answer nothing.
         std::vector<RunAtWork> runs; ///< That may have been at work on it.
     };
 
--- a/include/eelgrasscleat/Dispatch/TargetCommands.h
+++ b/include/eelgrasscleat/Dispatch/TargetCommands.h
@@ -53,6 +53,7 @@
     CommandStatus status = CommandStatus::NoResponse;
     TargetTime clock { 0 };
     bool hasClock = false;
+    bool connectionClosed = false; ///< There is no response because the connection was closed or refused.
 };
 
 /// A run that a target reports as running.
--- a/include/eelgrasscleat/Wire/HttpClient.h
+++ b/include/eelgrasscleat/Wire/HttpClient.h
@@ -31,6 +31,7 @@
     unsigned status = 0;
     std::string body;
     std::string detail; ///< What went wrong, for the log.
+    bool timedOut = false; ///< If not answered: the time was up, and the connection was still open.
 };
 
 /// A header of a call beyond those that every call has.
--- a/lib/Dispatch/DispatcherCrashes.cpp
+++ b/lib/Dispatch/DispatcherCrashes.cpp
@@ -15,6 +15,7 @@
     lost.address = tracker.target().address;
     lost.rack = tracker.target().rack;
     lost.lastAnsweredAt = tracker.lastAnsweredAt();
+    lost.closedConnections = tracker.connectionClosedAt > lost.lastAnsweredAt;
     lost.busyRackTargets = static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [&](auto &it) {
         return it.second->tracker.target().rack == lost.rack && !it.second->tracker.runs().empty();
     }));
@@ -31,7 +32,7 @@
     for (const auto &it : tracker.runs()) {
         const double ms = std::chrono::duration<double, std::milli>(now - it.second.dispatchedAt).count();
         m_observer.runDecided("target_lost", it.first, tracker.target().name, ms);
-        lost.runs.push_back({ it.first.task, it.second.dispatchedAt });
+        lost.runs.push_back({ it.first.task, it.second.dispatchedAt, it.second.startedAt != Instant {} });
     }
     m_crashes.targetLost(lost, now);
 }
@@ -46,9 +47,10 @@
     CrashHistory::LostTarget lost = describeLoss(target);
     lost.life.incarnation = changes.previousIncarnation;
     lost.lastAnsweredAt = lastAnsweredAt;
+    lost.closedConnections = true; // It has restarted without being unreachable in between.
     const auto addRun = [&](const RunName &name, const TrackedRun &run) {
         m_observer.runDecided("target_lost", name, lost.life.name, 0);
-        lost.runs.push_back({ name.task, run.dispatchedAt });
+        lost.runs.push_back({ name.task, run.dispatchedAt, run.startedAt != Instant {} });
     };
     for (const auto &it : changes.missing) {
         addRun(it.first, it.second);
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -102,11 +102,12 @@
     void runFailed(ActiveJob &job, const TaskName &task, Instant now);
     void requeue(const TargetName &target, const RunName &name, const TrackedRun &run);
     void removeStoppingRun(const JobId &id);
-    void recordNoResponse(const OwnedTarget &target, Instant now);
+    void recordNoResponse(OwnedTarget &target, const CommandResult &result, Instant now);
     void recordUnanswered(const OwnedTarget &target, Instant now);
     void recordResponseTime(const OwnedTarget &target, const TrackedRun &run, const CommandResult &result, Instant now);
     void updateHealth(OwnedTarget &target, PlacementOutcome outcome, Instant now);
     void abandonRuns(OwnedTarget &target, Instant now);
+    void endRuns(OwnedTarget &target, std::string_view decision, Instant now);
     void fenceTarget(OwnedTarget &target, Instant now);
     void advanceTarget(OwnedTarget &target, Instant now);
     void inspect(OwnedTarget &target, Instant now);
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -159,9 +159,12 @@
 }
 
 /// A command was not answered. Indicates message loss if the target is otherwise reachable.
-void Dispatcher::Impl::recordNoResponse(const OwnedTarget &target, Instant now)
+void Dispatcher::Impl::recordNoResponse(OwnedTarget &target, const CommandResult &result, Instant now)
 {
-    if (target.tracker.reachable) {
+    if (result.connectionClosed) {
+        target.tracker.connectionClosedAt = now;
+    }
+    if (result.status == CommandStatus::NoResponse && target.tracker.reachable) {
         m_lossyUntil = now + m_policy.lossyPeriod;
     }
 }
@@ -233,9 +236,7 @@
         return;
     }
     m_observer.runDecided(commandStatusName(result.status), runName, name, 0);
-    if (result.status == CommandStatus::NoResponse) {
-        recordNoResponse(*target, now);
-    }
+    recordNoResponse(*target, result, now);
     if (result.status == CommandStatus::NoResponse || run->startsSent > 1) {
         // The other start command may have been executed, or may still be.
         if (run->state == RunState::Starting && run->startsInFlight == 0) {
@@ -293,9 +294,7 @@
         return;
     }
     run->stopsInFlight -= std::min(run->stopsInFlight, 1U);
-    if (result.status == CommandStatus::NoResponse) {
-        recordNoResponse(*target, now);
-    }
+    recordNoResponse(*target, result, now);
     if (result.status == CommandStatus::Accepted) {
         run->inspectionAtStopAck = m_lastInspection;
         // Only a report requested from now on confirms that the run is not active.
--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -86,6 +86,18 @@
     }
 }
 
+/// No run is active on the target any more: their tasks may be restarted.
+/// @param decision for the log
+void Dispatcher::Impl::endRuns(OwnedTarget &target, std::string_view decision, Instant now)
+{
+    const auto runs = std::move(target.tracker.runs());
+    target.tracker.runs().clear();
+    for (const auto &it : runs) {
+        m_observer.runDecided(decision, it.first, target.tracker.target().name, it.second.progress);
+        runTerminated(target, it.first, it.second, false, now);
+    }
+}
+
 /// Handles the higher token of another owner, which now owns all targets that were owned under @p target's token. This
 /// includes targets that it has not contacted yet: after a restart, which resets the highest token seen, they would
 /// accept commands of both owners.
@@ -212,8 +224,8 @@
         return;
     }
     TargetTracker &tracker = target->tracker;
+    recordNoResponse(*target, result, now);
     if (result.status == CommandStatus::NoResponse) {
-        recordNoResponse(*target, now);
         recordUnanswered(*target, now);
     }
     ++tracker.failures;
@@ -236,7 +248,7 @@
     }
     if (result.status == CommandStatus::IncarnationMismatch) {
         recordLoss(*target, now);
-        abandonRuns(*target, now);
+        endRuns(*target, "vanished", now);
         crashAttributed(m_crashes.targetReplaced(name, now), now);
         tracker.inspected = false;
         return;
@@ -265,12 +277,7 @@
     }
     if (!tracker.reachable && tracker.isLeaseExpired(now) && !tracker.runs().empty()) {
         // All runs have ended with their lease. Runs reported later nevertheless are unknown, and stopped.
-        auto runs = std::move(tracker.runs());
-        tracker.runs().clear();
-        for (const auto &it : runs) {
-            m_observer.runDecided("lease_over", it.first, tracker.target().name, it.second.progress);
-            runTerminated(target, it.first, it.second, false, now);
-        }
+        endRuns(target, "lease_over", now);
         tracker.inspected = false;
     }
     const bool wantsInspection = !tracker.inspected || !tracker.runs().empty() || !tracker.reachable
--- a/lib/Dispatch/TargetTracker.h
+++ b/lib/Dispatch/TargetTracker.h
@@ -167,6 +167,7 @@
     Instant inspectOverdueAt {}; ///< When the response to the latest inspection is overdue.
     Instant nextInspectAt {};
     std::uint32_t failures = 0; ///< Consecutive failed inspections.
+    Instant connectionClosedAt {}; ///< When a command last found its connection closed or refused.
     std::uint64_t acknowledged = 0; ///< Highest end number acknowledged by an answered inspection.
     Instant pausedUntil {}; ///< No run is started on the target before this time.
     SpeedEstimate speed;
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -162,6 +162,7 @@
                      { { "task", formatTask(it.task) },
                        { "target", crash.target.name.value },
                        { "started_last", std::uint64_t { it.startedLast ? 1U : 0U } },
+                       { "likely", std::uint64_t { it.isLikely ? 1U : 0U } },
                        { "suspects", std::uint64_t { crash.suspects.size() } } });
         }
     }
--- a/lib/Wire/HttpClient.cpp
+++ b/lib/Wire/HttpClient.cpp
@@ -87,7 +87,7 @@
     void checkTime(Instant now)
     {
         if (m_call && now >= m_call->giveUpAt) {
-            broke("timed out");
+            broke("timed out", true);
         }
     }
 
@@ -186,7 +186,7 @@
         finish({ CallEnd::Answered, message.result_int(), std::move(message.body()), "" });
     }
 
-    void broke(const std::string &why)
+    void broke(const std::string &why, bool timedOut = false)
     {
         if (m_broken) {
             return;
@@ -198,7 +198,7 @@
         }
         m_broken = true;
         if (m_call) {
-            finish({ m_written ? CallEnd::Lost : CallEnd::NotSent, 0, "", why });
+            finish({ m_written ? CallEnd::Lost : CallEnd::NotSent, 0, "", why, timedOut });
         } else {
             m_owner.connectionFree();
         }
--- a/test/soak/targets.py
+++ b/test/soak/targets.py
@@ -4,10 +4,13 @@
 import dataclasses
 import time
 
+from .checks import ANNOUNCE_S
+
 LONGEST_LEASE_MS = 1000
 MEMORY_MB = 65536
-ANNOUNCE_S = 1.0
 LOOK_S = 0.005
+# How long a target is away that a task has crashed.
+CRASH_S = 2.5
 
 
 @dataclasses.dataclass
@@ -26,6 +29,9 @@
 
     def __init__(self, name, zone, cpu, slowness, store, checks, random):
         self.name, self.zone, self.cpu, self.slowness = name, zone, cpu, slowness
+        self.largest_cpu = cpu
+        self.running = {}
+        self._shrunk_at = None
         self._store, self._checks, self._random = store, checks, random
         self.mode = ""
         self.lost = 0.0
@@ -39,6 +45,7 @@
 
     def restart(self):
         """A new incarnation under the same id: it runs nothing and knows no token."""
+        self._checks.target_crashes(self)
         self.running = {}  # (task, run): Run
         self.ends = []
         self._highest = {}
@@ -49,6 +56,26 @@
         self.born = max(self.born + 1, int(time.time() * 1000))
         self._rate = 1 - 0.02 * self._random.random()
 
+    def crash(self, for_s):
+        """Silent for a while, then back as a new incarnation."""
+        self.dark = True
+        self.restart()
+        asyncio.get_running_loop().call_later(for_s, self._return)
+
+    def _return(self):
+        self.dark = False
+        self.announce()
+
+    def shrink(self, share):
+        """Changes the capacity to a share of the largest; what runs goes on."""
+        self.cpu = int(self.largest_cpu * share)
+        self._shrunk_at = time.monotonic() if share < 1 else None
+        self.announce()
+
+    def shrunk_for(self):
+        """Seconds since the capacity shrank; 0 if it has not."""
+        return time.monotonic() - self._shrunk_at if self._shrunk_at else 0.0
+
     def clock_ms(self, at=None):
         return int(((at or time.monotonic()) - self._started) * 1000 * self._rate) + 1
 
@@ -124,6 +151,9 @@
         if job:
             self.running[key] = Run(time.monotonic(), job.work_s * self.slowness, job.cpu)
             self._checks.look_at(self)
+            if key[0] == job.crashing_task:
+                self.crash(CRASH_S)
+                return None
         return 200, {"clock-ms": self.clock_ms()}
 
     def _renew(self, until_ms):
--- a/unittests/CrashingTasks/CrashingTasksTest.cpp
+++ b/unittests/CrashingTasks/CrashingTasksTest.cpp
@@ -11,13 +11,17 @@
     CPPUNIT_TEST_SUITE(CrashingTasksTest);
     CPPUNIT_TEST(task_crashesTargetAfterTarget_failsAfterTwo);
     CPPUNIT_TEST(task_crashesTargetsThatReturnUnderOtherNames_failsAfterTwo);
-    CPPUNIT_TEST(task_crashesTargetsThatReturnAtOnce_failsAfterThree);
+    CPPUNIT_TEST(task_crashesTargetsThatReturnAtOnce_failsAfterTwo);
+    CPPUNIT_TEST(task_crashesTargetsThatFallSilent_failsAfterThree);
+    CPPUNIT_TEST(task_crashesTargetsBeforeTheyAnswer_failsAfterThree);
+    CPPUNIT_TEST(task_startedOnTargetsThatHadCrashed_notGivenUp);
     CPPUNIT_TEST(job_resubmittedWhileItCrashesTargets_countContinues);
     CPPUNIT_TEST(job_resubmittedAtOtherOwners_countContinues);
     CPPUNIT_TEST(owner_restartsBetweenCrashes_countContinues);
     CPPUNIT_TEST(targets_moveToOtherOwnerBetweenCrashes_countContinues);
     CPPUNIT_TEST(job_partsAtTwoOwners_crashingPartFails);
     CPPUNIT_TEST(task_onCrashedTarget_restartsAfterLease);
+    CPPUNIT_TEST(task_otherTargetAnswersAtItsAddress_restartsElsewhere);
     CPPUNIT_TEST(task_targetsCutOffTwice_completesElsewhere);
     CPPUNIT_TEST(tasks_racksLosePowerInTurn_completeElsewhere);
     CPPUNIT_TEST(task_mayCrashItsTarget_isolated);
@@ -36,13 +40,35 @@
         assertFailsAfter(2);
     }
 
-    /// The first start is resent before the restart is seen, and crashes the target's next life, too.
-    void task_crashesTargetsThatReturnAtOnce_failsAfterThree()
+    void task_crashesTargetsThatReturnAtOnce_failsAfterTwo()
     {
         m_fleet.fleet.crashShape.downTime = std::chrono::milliseconds(20);
+        assertFailsAfter(2);
+    }
+
+    void task_crashesTargetsThatFallSilent_failsAfterThree()
+    {
+        m_fleet.fleet.crashShape.closesConnections = false;
+        assertFailsAfter(3);
+    }
+
+    void task_crashesTargetsBeforeTheyAnswer_failsAfterThree()
+    {
+        m_fleet.fleet.crashShape.delay = Duration::zero();
         assertFailsAfter(3);
     }
 
+    /// Targets without runs are seldom inspected: the first start to a crashed one finds out.
+    void task_startedOnTargetsThatHadCrashed_notGivenUp()
+    {
+        for (std::size_t i = 0; i < 10; ++i) {
+            m_fleet.fleet.crash(m_fleet.fleet.targets[i]);
+        }
+        m_fleet.submit(m_fleet.job("job", 1));
+        const JobEnd end = m_fleet.awaitEnd("job", std::chrono::seconds(12));
+        CPPUNIT_ASSERT(end.outcome == JobOutcome::Complete);
+    }
+
     void job_resubmittedWhileItCrashesTargets_countContinues()
     {
         const JobRequest request = m_fleet.job("job", 4, 1);
@@ -126,6 +152,16 @@
         assertNoViolation();
     }
 
+    void task_otherTargetAnswersAtItsAddress_restartsElsewhere()
+    {
+        m_fleet.fleet.crashShape = { std::chrono::milliseconds(100), true };
+        m_fleet.submit(m_fleet.job("job", 1));
+        m_fleet.fleet.crash(awaitBusyTarget());
+        const JobEnd end = m_fleet.awaitEnd("job", std::chrono::milliseconds(1200));
+        CPPUNIT_ASSERT(end.outcome == JobOutcome::Complete);
+        assertNoViolation();
+    }
+
     void task_targetsCutOffTwice_completesElsewhere()
     {
         m_fleet.work = std::chrono::milliseconds(500);
--- a/unittests/Dispatch/CrashHistoryTest.cpp
+++ b/unittests/Dispatch/CrashHistoryTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(advice_targetsCrashTwiceRightAfterStart_givesUp);
     CPPUNIT_TEST(advice_bystanderOfTwoCrashes_mayStart);
     CPPUNIT_TEST(advice_bystanderOfThreeCrashes_givesUp);
+    CPPUNIT_TEST(advice_targetsFellSilent_givesUpAfterThree);
     CPPUNIT_TEST(advice_causesOfTwoLossesUnknown_waitsUntilResolved);
     CPPUNIT_TEST(advice_fourLossesOfUnknownCause_neverStartsAgain);
     CPPUNIT_TEST(advice_anotherTaskHasLostTwoTargets_waitsForCause);
@@ -41,6 +42,7 @@
         m_now = Instant(std::chrono::seconds(1000));
         m_rack.clear();
         m_busyRackTargets = 3;
+        m_closedConnections = true;
     }
 
     void advice_targetsCrashTwiceRightAfterStart_givesUp()
@@ -68,6 +70,18 @@
         CPPUNIT_ASSERT(advice(kBystander) == StartAdvice::GiveUp);
     }
 
+    void advice_targetsFellSilent_givesUpAfterThree()
+    {
+        m_closedConnections = false;
+        crash("a", { kTask });
+        crash("b", { kTask });
+        CPPUNIT_ASSERT(advice(kTask) == StartAdvice::Isolate);
+        lose("c", { kTask });
+        CPPUNIT_ASSERT(advice(kTask) == StartAdvice::Wait);
+        m_history.targetAnswered(TargetName("c"), 2, m_now);
+        CPPUNIT_ASSERT(advice(kTask) == StartAdvice::GiveUp);
+    }
+
     void advice_causesOfTwoLossesUnknown_waitsUntilResolved()
     {
         lose("a", { kTask });
@@ -206,7 +220,7 @@
 
     void learn_crashesOfOtherInstances_count()
     {
-        CPPUNIT_ASSERT(m_history.learn({ { TargetName("a"), 1 }, { { kTask, true } } }, m_now));
+        CPPUNIT_ASSERT(m_history.learn({ { TargetName("a"), 1 }, { { kTask, true, true } } }, m_now));
         CPPUNIT_ASSERT(advice(kTask) == StartAdvice::Isolate);
         crash("b", { kTask });
         CPPUNIT_ASSERT(advice(kTask) == StartAdvice::GiveUp);
@@ -219,7 +233,7 @@
         CPPUNIT_ASSERT_EQUAL(1U, m_history.crashes(kTask));
         lose("b", { kTask });
         CPPUNIT_ASSERT_MESSAGE("another instance has found out the cause of an open loss",
-                               m_history.learn({ { TargetName("b"), 1 }, { { kTask, true } } }, m_now));
+                               m_history.learn({ { TargetName("b"), 1 }, { { kTask, true, true } } }, m_now));
         CPPUNIT_ASSERT_EQUAL(2U, m_history.crashes(kTask));
     }
 
@@ -237,7 +251,7 @@
 
     void advance_learnedCrash_keptTwiceAsLong()
     {
-        m_history.learn({ { TargetName("a"), 1 }, { { kTask, true } } }, m_now);
+        m_history.learn({ { TargetName("a"), 1 }, { { kTask, true, true } } }, m_now);
         m_now += CrashPolicy().retention;
         CPPUNIT_ASSERT(m_history.advance(m_now).empty());
         CPPUNIT_ASSERT_EQUAL(1U, m_history.crashes(kTask));
@@ -288,6 +302,7 @@
         lost.rack = m_rack;
         lost.busyRackTargets = m_busyRackTargets;
         lost.lastAnsweredAt = m_now - std::chrono::milliseconds(200);
+        lost.closedConnections = m_closedConnections;
         return lost;
     }
 
@@ -296,7 +311,7 @@
     {
         CrashHistory::LostTarget lost = lostTarget(name);
         for (const TaskName &it : tasks) {
-            lost.runs.push_back({ it, m_now });
+            lost.runs.push_back({ it, m_now, true });
         }
         m_history.targetLost(lost, m_now);
     }
@@ -313,7 +328,7 @@
     void crashWithBystander(const std::string &name)
     {
         CrashHistory::LostTarget lost = lostTarget(name);
-        lost.runs = { { kBystander, m_now - std::chrono::seconds(1) }, { kTask, m_now } };
+        lost.runs = { { kBystander, m_now - std::chrono::seconds(1), true }, { kTask, m_now, true } };
         m_history.targetLost(lost, m_now);
         CPPUNIT_ASSERT(m_history.targetAnswered(TargetName(name), 2, m_now));
     }
@@ -327,6 +342,7 @@
     Instant m_now {};
     std::string m_rack;
     std::size_t m_busyRackTargets = 3;
+    bool m_closedConnections = true;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashHistoryTest);
--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -248,7 +248,19 @@
     }
     if (task.crashes) {
         ++task.crashedTargets;
-        crash(target);
+        if (crashShape.delay == Duration::zero()) {
+            crash(target);
+            return;
+        }
+        const std::string address = target.description.address;
+        m_queue.after(crashShape.delay, [this, address, life = target.description.incarnation] {
+            const auto it = std::find_if(targets.begin(), targets.end(), [&address](const FakeTarget &started) {
+                return started.description.address == address;
+            });
+            if (it->description.incarnation == life) {
+                crash(*it);
+            }
+        });
     }
 }
 
@@ -281,6 +293,14 @@
     return it == m_fleet.targets.end() ? nullptr : &*it;
 }
 
+std::optional<CommandResult> FakeTargetCommands::answerOfCrashed() const
+{
+    if (!m_fleet.crashShape.closesConnections) {
+        return std::nullopt;
+    }
+    return CommandResult { CommandStatus::NoResponse, TargetTime(0), false, true };
+}
+
 void FakeTargetCommands::deliver(std::function<void()> event)
 {
     if (frozen) {
@@ -322,15 +342,18 @@
     // Returns nothing if the target doesn't answer.
     const auto execute = [this, command, target]() -> std::optional<CommandResult> {
         FakeTarget *found = findByAddress(target.address);
-        if (found == nullptr || found->isCutOff || found->darkUntil > m_queue.now()) {
+        if (found == nullptr || found->isCutOff) {
             return std::nullopt;
         }
+        if (found->darkUntil > m_queue.now()) {
+            return answerOfCrashed();
+        }
         if (found->description.name != target.name) {
             return CommandResult { CommandStatus::IncarnationMismatch, TargetTime(0), false };
         }
         const CommandResult result = command(*found);
         m_fleet.check();
-        return found->darkUntil > m_queue.now() ? std::nullopt : std::optional(result);
+        return found->darkUntil > m_queue.now() ? answerOfCrashed() : std::optional(result);
     };
     if (isolated || drawChance(random, m_fleet.faults.lostCommands)) {
         return;
@@ -432,8 +455,14 @@
 {
     m_queue.after(kPollInterval, [this, command, report, until, respond] {
         FakeTarget *target = find(command.target.name);
-        if (target == nullptr || target->isCutOff || target->darkUntil > m_queue.now()) {
-            m_queue.at(until + command.responseTimeout, [this, respond] { deliver([respond] { respond({}); }); });
+        const auto answer = target == nullptr || target->isCutOff ? std::nullopt
+            : target->darkUntil > m_queue.now()                   ? answerOfCrashed()
+                                                                  : CommandResult {};
+        if (!answer || answer->connectionClosed) {
+            const Instant end = answer ? m_queue.now() : until + command.responseTimeout;
+            m_queue.at(end, [this, respond, answer] {
+                deliver([respond, answer] { respond(answer.value_or(CommandResult {})); });
+            });
             return;
         }
         *report = TargetReport();
--- a/unittests/Dispatch/FakeFleet.h
+++ b/unittests/Dispatch/FakeFleet.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -118,6 +119,9 @@
 {
     Duration downTime = std::chrono::milliseconds(3300);
     bool changesName = false; ///< The target returns under another name at the same address.
+    bool closesConnections = true; ///< Otherwise nothing is answered while the target is down.
+    /// From the start of a task that crashes the target; zero: the start isn't answered.
+    Duration delay = std::chrono::milliseconds(5);
 };
 
 /// The simulated targets and the network in front of them.
@@ -213,6 +217,8 @@
                     Instant until,
                     const std::function<void(const CommandResult &)> &respond);
     void deliver(std::function<void()> event);
+    /// @returns what a command to a crashed target gets; nothing if it times out.
+    [[nodiscard]] std::optional<CommandResult> answerOfCrashed() const;
     FakeTarget *find(const TargetName &name);
     FakeTarget *findByAddress(const std::string &address);
 
--- a/unittests/Node/DispatchNodeTest.cpp
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -252,7 +252,7 @@
         submit(1);
         const TaskName task = m_targets.started.at(0).task;
         for (const char *it : { "other-1", "other-2" }) {
-            m_node->storeEvents().crashPublished({ { TargetName(it), 1 }, { { task, true } } });
+            m_node->storeEvents().crashPublished({ { TargetName(it), 1 }, { { task, true, true } } });
         }
         CPPUNIT_ASSERT(m_callers.ends.at(1).outcome == JobOutcome::Failed);
         CPPUNIT_ASSERT(m_callers.ends.at(1).reason == JobEndReason::TargetsCrashed);
--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -206,7 +206,7 @@
     void crash_published_readByPresentAndLaterOwners()
     {
         const TargetCrash crash { { TargetName("i-1"), 1700000000123 },
-                                  { { { JobId("5c0e7a21d94b36f8"), 0, 17 }, true } } };
+                                  { { { JobId("5c0e7a21d94b36f8"), 0, 17 }, true, true } } };
         m_client->watchTargets(true);
         EventLoop::waitFor([this] { return m_stand->lists >= 2; });
         m_client->publishCrash(crash);
