Crashes: a run in the next life of a target doesn't count

Callers could have been told failed for a harmless task. Cause: recordRestart took all tracked runs for runs of the previous life.

Why it works: a run that the report lists belongs to the life that reports; one that was started since the report was requested may, so it is no likely cause. task_startedInNextLifeOfTarget_notGivenUp failed before.

--- a/lib/Dispatch/DispatcherCrashes.cpp
+++ b/lib/Dispatch/DispatcherCrashes.cpp
@@ -37,27 +37,30 @@
     m_crashes.targetLost(lost, now);
 }
 
-/// The target was back before it was noticed to be unreachable. Its next life may have acknowledged a stop of a run
-/// that was at work in the previous one.
-void Dispatcher::Impl::recordRestart(OwnedTarget &target,
-                                     const ReportChanges &changes,
-                                     Instant lastAnsweredAt,
-                                     Instant now)
+/// The target was back before it was noticed to be unreachable. Runs that it reports, or that were started since the
+/// report was requested, may belong to its present life. That life may also have acknowledged a stop of a run that was
+/// at work in the previous one.
+void Dispatcher::Impl::recordRestart(
+    OwnedTarget &target, const ReportChanges &changes, const TargetReport &report, Instant lastAnsweredAt, Instant now)
 {
     CrashHistory::LostTarget lost = describeLoss(target);
     lost.life.incarnation = changes.previousIncarnation;
     lost.lastAnsweredAt = lastAnsweredAt;
     lost.closedConnections = true; // It has restarted without being unreachable in between.
-    const auto addRun = [&](const RunName &name, const TrackedRun &run) {
-        m_observer.runDecided("target_lost", name, lost.life.name, 0);
-        lost.runs.push_back({ name.task, run.dispatchedAt, run.startedAt != Instant {} });
+    const auto addRun = [&](const RunName &name, const TrackedRun &run, bool isConfirmed) {
+        const auto isReported = std::any_of(
+            report.running.begin(), report.running.end(), [&name](const ReportedRun &it) { return it.run == name; });
+        if (!isReported) {
+            m_observer.runDecided("target_lost", name, lost.life.name, 0);
+            lost.runs.push_back({ name.task, run.dispatchedAt, isConfirmed });
+        }
     };
     for (const auto &it : changes.missing) {
-        addRun(it.first, it.second);
+        addRun(it.first, it.second, true);
     }
     for (const RunName &it : changes.uncertain) {
         if (const TrackedRun *run = target.tracker.findRun(it)) {
-            addRun(it, *run);
+            addRun(it, *run, false);
         }
     }
     m_crashes.targetLost(lost, now);
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -115,7 +115,11 @@
     void applyReportChanges(OwnedTarget &target, const ReportChanges &changes, Instant now);
     [[nodiscard]] CrashHistory::LostTarget describeLoss(const OwnedTarget &target) const;
     void recordLoss(OwnedTarget &target, Instant now);
-    void recordRestart(OwnedTarget &target, const ReportChanges &changes, Instant lastAnsweredAt, Instant now);
+    void recordRestart(OwnedTarget &target,
+                       const ReportChanges &changes,
+                       const TargetReport &report,
+                       Instant lastAnsweredAt,
+                       Instant now);
     void crashAttributed(const std::optional<TargetCrash> &crash, Instant now);
     void giveUpSuspects(const TargetCrash &crash, Instant now);
     [[nodiscard]] bool isGivenUp(const JobRequest &request, Instant now) const;
--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -176,7 +176,7 @@
     tracker.acknowledged = changes.restarted ? 0 : acknowledged;
     tracker.inspected = true;
     if (changes.restarted) {
-        recordRestart(*target, changes, lastAnsweredAt, now);
+        recordRestart(*target, changes, report, lastAnsweredAt, now);
     }
     applyReportChanges(*target, changes, now);
     crashAttributed(m_crashes.targetAnswered(name, tracker.incarnation(), now), now);
--- a/unittests/CrashingTasks/CrashingTasksTest.cpp
+++ b/unittests/CrashingTasks/CrashingTasksTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(task_crashesTargetAfterTarget_failsAfterTwo);
     CPPUNIT_TEST(task_crashesTargetsThatReturnUnderOtherNames_failsAfterTwo);
     CPPUNIT_TEST(task_crashesTargetsThatReturnAtOnce_failsAfterTwo);
+    CPPUNIT_TEST(task_startedInNextLifeOfTarget_notGivenUp);
     CPPUNIT_TEST(task_crashesTargetsThatFallSilent_failsAfterThree);
     CPPUNIT_TEST(task_crashesTargetsBeforeTheyAnswer_failsAfterThree);
     CPPUNIT_TEST(task_startedOnTargetsThatHadCrashed_notGivenUp);
@@ -46,6 +47,25 @@
         assertFailsAfter(2);
     }
 
+    /// All targets restart at once; the task is started on some before their restart is seen.
+    void task_startedInNextLifeOfTarget_notGivenUp()
+    {
+        m_fleet.submit(m_fleet.job("job", 4));
+        for (int i = 0; i < 3; ++i) {
+            m_fleet.run(std::chrono::milliseconds(60));
+            for (FakeTarget &it : m_fleet.fleet.targets) {
+                it.restart(m_fleet.queue.now());
+                const DispatchTarget target = it.description;
+                m_fleet.queue.after(std::chrono::milliseconds(300), [this, target] {
+                    m_fleet.dispatcher().targetOwned(target, FencingToken(1), m_fleet.queue.now());
+                });
+            }
+            m_fleet.run(std::chrono::milliseconds(1200));
+        }
+        const JobEnd end = m_fleet.awaitEnd("job", std::chrono::seconds(8));
+        CPPUNIT_ASSERT(end.outcome == JobOutcome::Complete);
+    }
+
     void task_crashesTargetsThatFallSilent_failsAfterThree()
     {
         m_fleet.fleet.crashShape.closesConnections = false;
