Division: jobs are divided only if the last task starts over 50 ms earlier

Cause: homes divide by views that are up to 80 ms old, so an expected gain of a few milliseconds is none, while each part can be refused by itself. The fixture of the router's schedules sets the threshold to 0, since these test divisions of jobs that wait for little; all their checks stay.

--- a/include/eelgrasscleat/Dispatch/TaskDivision.h
+++ b/include/eelgrasscleat/Dispatch/TaskDivision.h
@@ -16,7 +16,7 @@
 struct DivisionPolicy
 {
     /// A job is divided only if its last task is expected to start earlier by more than this.
-    double minGainMs = 0;
+    double minGainMs = 50;
     /// Cost of taking all places of a dispatcher, in proportion to the share taken: reports are old by some statuses,
     /// and other homes send tasks there, too. It spreads tasks, by more than the price of a way to another zone once a
     /// dispatcher is half full.
--- a/unittests/Dispatch/JobRouterFixture.h
+++ b/unittests/Dispatch/JobRouterFixture.h
@@ -22,7 +22,9 @@
     void setUp() override
     {
         JobRouterObserver &observer = *this;
-        m_router.emplace(JobRouterPolicy(), ZoneName("zone"), observer);
+        JobRouterPolicy policy;
+        policy.division.minGainMs = 0; // The schedules divide jobs that wait for little.
+        m_router.emplace(policy, ZoneName("zone"), observer);
         m_requests.clear();
         m_routed.clear();
         m_withdrawn.clear();
