Refusals: at arrival by a forecast, elsewhere before in the queue, and no part refused once another is accepted

Change: StartForecast books the queue on the targets' expected ends; an owner refuses by it at arrival. While the home has other owners to ask, it asks for a refusal of what would miss its objective (only_in_time), the last one asked takes what is useful at all. A part that is sent while another part was accepted (others_accepted) is never refused as late and goes before jobs that have not begun.

--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -102,7 +102,7 @@
         CallerId caller;
         JobRequest request;
         std::map<std::uint64_t, Part> parts; ///< Parts without a result, by ticket.
-        std::set<InstanceName> refusedBy;
+        std::map<InstanceName, JobEndReason> refusedBy; ///< With the reason.
         std::uint32_t refusals = 0; ///< Without those of dispatchers in evacuated zones.
         bool hasRun = false; ///< A part is complete.
     };
@@ -118,11 +118,13 @@
     [[nodiscard]] bool canRun(const DispatcherState &state, const JobRequest &request) const;
     [[nodiscard]] DivisionCandidate
     candidate(const InstanceName &name, const DispatcherState &state, const JobRequest &request) const;
-    [[nodiscard]] std::vector<TaskShare> chooseDispatchers(const OpenJob &job, const JobRequest &request) const;
+    [[nodiscard]] std::vector<TaskShare>
+    chooseDispatchers(const OpenJob &job, const JobRequest &request, std::size_t &candidateCount) const;
     bool route(std::uint64_t number, OpenJob &job, const JobRequest &request);
     void partRefused(std::uint64_t number, std::uint64_t ticket, const JobEnd &end, Instant now);
     void refuseUnroutable(std::uint64_t number);
     [[nodiscard]] bool isEvacuated(const DispatcherState &state) const;
+    [[nodiscard]] static bool hasAcceptedParts(const OpenJob &job);
     void withdraw(const OpenJob &job);
     void answer(std::uint64_t number, JobOutcome outcome, JobEndReason reason, Duration retryAfter);
 
--- a/include/eelgrasscleat/Dispatch/JobTypes.h
+++ b/include/eelgrasscleat/Dispatch/JobTypes.h
@@ -66,6 +66,11 @@
     Duration latencyTarget {}; ///< Fixed part of the latency objective, added to the stretched run time.
     Instant submitted; ///< Arrival time of the caller's request.
     Instant deadline; ///< Time at which the caller stops waiting.
+    /// Refused if it is expected to miss its objective: the home has other dispatchers to ask.
+    bool onlyInTime = false;
+    /// Other parts of the job have been accepted. Never refused as late, since the caller could not be told truly that
+    /// the job has not run.
+    bool othersAccepted = false;
 };
 
 /// How a job ended.
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -13,106 +13,19 @@
 namespace
 {
 
-/// Minimum retry delay given to a refused caller: a client round trip and one placement.
-constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
-/// Maximum retry delay given to a refused caller: by then, results are of no use on the users' deployments.
-constexpr Duration kMaxRetryDelay = std::chrono::seconds(5);
 /// Run numbers of a job are kept for this long after its last run, so that a resubmission continues the sequence.
 constexpr Duration kRecentJobRetention = std::chrono::seconds(20);
-/// Share of the targets' capacity that the least urgent jobs are assumed to get under any load: tasks end, and some
-/// of the freed capacity is too small for more urgent tasks.
-constexpr double kMinCapacityShare = 0.1;
 /// Maximum number of jobs that can't be placed before a placement pass ends; bounds its time.
 constexpr std::uint32_t kMaxSkippedJobs = 64;
 
 } // namespace
 
-void Dispatcher::Impl::refuse(const JobOrigin &origin, const JobId &id, JobEndReason reason, Duration retryAfter)
-{
-    const Duration delay = std::clamp(retryAfter, kMinRetryDelay, kMaxRetryDelay);
-    m_observer.jobEnded(origin.home, { id, origin.ticket, JobOutcome::Refused, reason, delay });
-}
-
 Instant Dispatcher::Impl::lastContact(const InstanceName &home) const
 {
     const auto it = m_homes.find(home);
     return it == m_homes.end() ? Instant {} : it->second;
 }
 
-double Dispatcher::Impl::serviceRate(Instant now) const
-{
-    if (now == m_rateAt) {
-        return m_rate;
-    }
-    double milliCores = 0;
-    for (const auto &it : m_targets) {
-        if (m_selector.isUsable(*it.second, now)) {
-            milliCores +=
-                it.second->tracker.target().capacity.milliCores / std::exp(it.second->tracker.speed.logSlowness());
-        }
-    }
-    m_rateAt = now;
-    m_rate = milliCores;
-    return milliCores;
-}
-
-/// @param arrivingRate work that arrives meanwhile and is placed first, in thousandths of a core
-/// @returns the expected time until all queued work of @p priority and more urgent ones has been placed
-Duration Dispatcher::Impl::queueWait(std::uint32_t priority, double arrivingRate, Instant now) const
-{
-    const double rate = serviceRate(now);
-    if (rate <= 0) {
-        return kMaxRetryDelay;
-    }
-    const double availableRate = std::max(kMinCapacityShare * rate, rate - arrivingRate);
-    const QueuedWork queued = m_jobTable.queuedWork(priority);
-    constexpr double kMicrosPerSecond = 1e6;
-    const double untilSent = queued.tasks / m_pacer.startsPerSecond() * kMicrosPerSecond;
-    return Duration(static_cast<Duration::rep>(std::max(queued.milliCoreMicros / availableRate, untilSent)));
-}
-
-Duration Dispatcher::Impl::expectedWait(const JobRequest &request, Instant now)
-{
-    double demand = 0;
-    for (const JobStep &it : request.steps) {
-        demand += static_cast<double>(it.demand.milliCores) * it.tasks;
-    }
-    double freeMilliCores = 0;
-    for (const auto &it : m_targets) {
-        if (m_selector.isUsable(*it.second, now)) {
-            freeMilliCores += it.second->tracker.freeCapacity().milliCores;
-        }
-    }
-    if (m_pacer.mayStart() && freeMilliCores >= demand) {
-        return {};
-    }
-    // More urgent jobs that arrive meanwhile are placed first, too.
-    return queueWait(request.priority, m_jobTable.moreUrgentArrivals(request.priority, now), now);
-}
-
-/// A job that can no longer meet its objective is placed after all jobs of its priority that can, including later
-/// arrivals.
-/// @returns the expected time until the job can be placed
-Duration Dispatcher::Impl::remainingWait(const ActiveJob &job, Instant now) const
-{
-    if (now + job.criticalPath <= job.objectiveAt) {
-        return {};
-    }
-    const std::uint32_t priority = job.request.priority;
-    return queueWait(priority, m_jobTable.moreUrgentArrivals(priority + 1, now), now);
-}
-
-void Dispatcher::Impl::refuseTooLate(ActiveJob &job, Duration wait, Instant now)
-{
-    LatenessEstimate estimate;
-    estimate.expectedWait = wait;
-    estimate.expectedRun = job.criticalPath;
-    estimate.timeLeft = job.usefulUntil - now;
-    estimate.queuedTasks = m_jobTable.queuedWork(job.request.priority).tasks;
-    m_observer.jobTooLate(job.request.id, estimate);
-    terminateJob(job, JobOutcome::Refused, JobEndReason::TooLate, now);
-}
-
 bool Dispatcher::Impl::hasSuitableTargets(const JobRequest &request) const
 {
     return std::all_of(request.steps.begin(), request.steps.end(), [&](const JobStep &it) {
@@ -143,10 +56,8 @@
         refuse(origin, id, JobEndReason::QueueFull, expectedWait(request, now));
         return;
     }
-    const Duration wait = expectedWait(request, now);
     ActiveJob &job = m_jobTable.add(origin, std::move(request), m_policy);
-    if (now + wait + job.criticalPath > job.usefulUntil) {
-        refuseTooLate(job, wait, now);
+    if (!admit(job, now)) {
         return;
     }
     if (m_draining) {
@@ -280,33 +191,6 @@
     return true;
 }
 
-void Dispatcher::Impl::expireJobs(Instant now)
-{
-    std::vector<ActiveJob *> late;
-    std::vector<ActiveJob *> unachievable;
-    std::vector<ActiveJob *> unsuitable;
-    for (const auto &it : m_jobTable.jobs()) {
-        ActiveJob &job = *it.second;
-        if (now >= job.request.deadline) {
-            late.push_back(&job);
-        } else if (job.possibleRuns == 0 && !hasSuitableTargets(job.request)) {
-            unsuitable.push_back(&job);
-        } else if (job.possibleRuns == 0 && now + remainingWait(job, now) + job.criticalPath > job.usefulUntil) {
-            unachievable.push_back(&job);
-        }
-    }
-    for (ActiveJob *it : late) {
-        const JobOutcome outcome = it->possibleRuns > 0 ? JobOutcome::Expired : JobOutcome::Refused;
-        terminateJob(*it, outcome, JobEndReason::DeadlinePassed, now);
-    }
-    for (ActiveJob *it : unsuitable) {
-        terminateJob(*it, JobOutcome::Refused, JobEndReason::NoSuitableTarget, now);
-    }
-    for (ActiveJob *it : unachievable) {
-        refuseTooLate(*it, remainingWait(*it, now), now);
-    }
-}
-
 void Dispatcher::Impl::advance(Instant now)
 {
     std::vector<InstanceName> silent;
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -1,12 +1,14 @@
 /// @file
-/// Implementation class of the dispatcher. Jobs and admission control are in Dispatcher.cpp, planned stops and
-/// evacuations in DispatcherClosing.cpp, runs in DispatcherRuns.cpp, targets in DispatcherTargets.cpp, lost targets in
-/// DispatcherCrashes.cpp.
+/// Implementation class of the dispatcher. Jobs are in Dispatcher.cpp, admission control in
+/// DispatcherAdmission.cpp, planned stops and evacuations in DispatcherClosing.cpp, runs in DispatcherRuns.cpp, targets
+/// in DispatcherTargets.cpp, lost targets in DispatcherCrashes.cpp.
 #pragma once
 
 #include "JobTable.h"
 #include "TargetSelector.h"
 
+#include <eelgrasscleat/Dispatch/StartForecast.h>
+
 #include <deque>
 #include <optional>
 
@@ -16,6 +18,11 @@
 /// Maximum number of inspections of one target in flight: the second replaces a lost response to the first.
 constexpr std::size_t kMaxInspectionsInFlight = 2;
 
+/// Minimum retry delay given to a refused caller: a client round trip and one placement.
+constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
+/// Maximum retry delay given to a refused caller: by then, results are of no use on the users' deployments.
+constexpr Duration kMaxRetryDelay = std::chrono::seconds(5);
+
 class Dispatcher::Impl
 {
 public:
@@ -80,6 +87,9 @@
     [[nodiscard]] Duration queueWait(std::uint32_t priority, double arrivingRate, Instant now) const;
     [[nodiscard]] Duration remainingWait(const ActiveJob &job, Instant now) const;
     [[nodiscard]] bool hasSuitableTargets(const JobRequest &request) const;
+    [[nodiscard]] StartForecast targetForecast(const ServiceName &service, Instant now) const;
+    [[nodiscard]] std::optional<StartForecast::Booking> book(StartForecast &forecast, const ActiveJob &job);
+    bool admit(ActiveJob &job, Instant now);
     void refuseTooLate(ActiveJob &job, Duration wait, Instant now);
     [[nodiscard]] double serviceRate(Instant now) const;
     void placeWaiting(Instant now);
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -112,7 +112,11 @@
 /// @returns whether there was a dispatcher.
 bool JobRouter::route(std::uint64_t number, OpenJob &job, const JobRequest &request)
 {
-    const auto shares = chooseDispatchers(job, request);
+    const bool isRemainder = hasAcceptedParts(job);
+    std::size_t candidates = 0;
+    const auto shares = chooseDispatchers(job, request, candidates);
+    const bool hasOthers =
+        !isRemainder && job.refusals + 1 < m_policy.maxDispatchersTried && candidates > shares.size();
     std::uint32_t firstTask = request.steps.front().firstTask;
     for (const TaskShare &it : shares) {
         const std::uint64_t ticket = ++m_lastTicket;
@@ -120,6 +124,8 @@
         part.dispatcher = it.name;
         part.request = request;
         part.request.deadline = job.request.deadline; // A planned stop may have shortened it since.
+        part.request.onlyInTime = hasOthers;
+        part.request.othersAccepted = isRemainder;
         if (shares.size() > 1) {
             part.request.steps.front().firstTask = firstTask;
             part.request.steps.front().tasks = it.tasks;
@@ -164,15 +170,22 @@
     return candidate;
 }
 
-std::vector<TaskShare> JobRouter::chooseDispatchers(const OpenJob &job, const JobRequest &request) const
+/// @param candidateCount set to the number of dispatchers that may take the request
+std::vector<TaskShare>
+JobRouter::chooseDispatchers(const OpenJob &job, const JobRequest &request, std::size_t &candidateCount) const
 {
     std::vector<DivisionCandidate> candidates;
     const bool isPart = totalTasks(request) < totalTasks(job.request);
+    const bool isRemainder = hasAcceptedParts(job);
     bool allKnowParts = true;
     for (const auto &it : m_dispatchers) {
         const bool hasPart = std::any_of(
             job.parts.begin(), job.parts.end(), [&it](const auto &part) { return part.second.dispatcher == it.first; });
-        if (hasPart || job.refusedBy.count(it.first) > 0 || !canRun(it.second, request)) {
+        const auto refusal = job.refusedBy.find(it.first);
+        // One that has refused for lateness takes what remains of a job of which other parts were accepted.
+        const bool hasRefused =
+            refusal != job.refusedBy.end() && !(isRemainder && refusal->second == JobEndReason::TooLate);
+        if (hasPart || hasRefused || !canRun(it.second, request)) {
             continue;
         }
         // Instances of earlier versions take a part for a whole job. They report no places.
@@ -182,6 +195,7 @@
             allKnowParts = allKnowParts && knowsParts;
         }
     }
+    candidateCount = candidates.size();
     DivisionPolicy policy = m_policy.division;
     if (isPart || !allKnowParts || !isDivisible(request)) {
         policy.maxParts = 1;
@@ -192,6 +206,12 @@
     return divideTasks(totalTasks(request), candidates, policy);
 }
 
+/// @returns whether parts of the job may run or have run.
+bool JobRouter::hasAcceptedParts(const OpenJob &job)
+{
+    return job.hasRun || !job.parts.empty();
+}
+
 /// Cancels all parts without a result.
 void JobRouter::withdraw(const OpenJob &job)
 {
@@ -263,14 +283,16 @@
     const Part part = std::move(job.parts.at(ticket));
     job.parts.erase(ticket);
     m_jobOfTicket.erase(ticket);
-    job.refusedBy.insert(part.dispatcher);
+    job.refusedBy[part.dispatcher] = end.reason;
     job.refusals += end.reason == JobEndReason::ZoneEvacuated ? 0 : 1;
-    const bool mayTryOthers = job.refusals < m_policy.maxDispatchersTried;
+    // A part that follows accepted ones is not refused as late a second time, except by instances of earlier versions.
+    const bool isFirstOfRemainder = hasAcceptedParts(job) && !part.request.othersAccepted;
+    const bool mayTryOthers = job.refusals < m_policy.maxDispatchersTried || isFirstOfRemainder;
     if (mayTryOthers && now < job.request.deadline && route(number, job, part.request)) {
         return;
     }
     // Tasks of other parts may run, or have run.
-    const bool mayHaveRun = job.hasRun || !job.parts.empty();
+    const bool mayHaveRun = hasAcceptedParts(job);
     withdraw(job);
     answer(number, mayHaveRun ? JobOutcome::Abandoned : JobOutcome::Refused, end.reason, end.retryAfter);
 }
--- a/lib/Dispatch/JobTable.cpp
+++ b/lib/Dispatch/JobTable.cpp
@@ -194,7 +194,7 @@
     }
     const auto key = [now](const ActiveJob *job) {
         const bool late = now + job->criticalPath + kCommandOverhead > job->objectiveAt;
-        return std::make_tuple(job->request.priority, job->possibleRuns == 0, late, job->objectiveAt, job->number);
+        return std::make_tuple(job->request.priority, !job->hasBegun(), late, job->objectiveAt, job->number);
     };
     std::sort(jobs.begin(), jobs.end(), [&key](const ActiveJob *a, const ActiveJob *b) { return key(a) < key(b); });
     return jobs;
--- a/lib/Dispatch/JobTable.h
+++ b/lib/Dispatch/JobTable.h
@@ -48,6 +48,11 @@
     Instant objectiveAt {}; ///< Completion by this time meets the latency objective.
     Instant usefulUntil {}; ///< Completion after this time is of no use to the caller.
 
+    /// @returns whether the job can no longer be refused as not run.
+    [[nodiscard]] bool hasBegun() const
+    {
+        return possibleRuns > 0 || request.othersAccepted;
+    }
     /// @returns the state of one of the job's tasks.
     [[nodiscard]] TaskEntry &entry(const TaskName &task)
     {
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -64,6 +64,8 @@
     message.set_latency_target_us(toMicroseconds(request.latencyTarget));
     message.set_age_us(toMicroseconds(now - request.submitted));
     message.set_left_us(toMicroseconds(request.deadline - now));
+    message.set_only_in_time(request.onlyInTime);
+    message.set_others_accepted(request.othersAccepted);
 }
 
 static bool isWellFormed(const JobRequest &request)
@@ -102,6 +104,8 @@
     request.latencyTarget = toDuration(message.latency_target_us());
     request.submitted = now - toDuration(message.age_us());
     request.deadline = now + toDuration(message.left_us());
+    request.onlyInTime = message.only_in_time();
+    request.othersAccepted = message.others_accepted();
     if (!isWellFormed(request)) {
         return std::nullopt;
     }
--- a/unittests/Dispatch/DividedFleet.h
+++ b/unittests/Dispatch/DividedFleet.h
@@ -93,6 +93,7 @@
     int submitted = 0;
     int answered = 0;
     int complete = 0;
+    int abandoned = 0; ///< The caller isn't told whether the job has run.
     int falseRefusals = 0; ///< Refused as not run, though a task was started.
     int messages = 0;
 
@@ -258,6 +259,7 @@
             ++complete;
             earned += job.worth * (queue.now() <= job.objective ? 1 : kLateWorth);
         }
+        abandoned += end.outcome == JobOutcome::Abandoned ? 1 : 0;
         falseRefusals += end.outcome == JobOutcome::Refused && fleet.hasStarted(end.id) ? 1 : 0;
     }
 
