--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -30,12 +29,8 @@
     DivisionPolicy division;
     /// Maximum number of open jobs. Bounds memory: a job takes about 2 KB.
     std::uint32_t maxOpenJobs = 4000;
-    /// Time of an ownership takeover. Jobs wait for it if they are still useful then; the retry delay given to the
-    /// callers of others.
+    /// Retry delay given to a refused caller while no dispatcher is known: the time of an ownership takeover.
     Duration takeoverTime = std::chrono::milliseconds(1500);
-    /// A late result is still useful up to this multiple of the latency objective; same value as
-    /// DispatcherPolicy::maxLatenessFactor.
-    double maxLatenessFactor = 3;
     /// Retry delay given to a refused caller while all zones are evacuated: operators take a zone back after seconds.
     Duration evacuationRetryDelay = std::chrono::milliseconds(2000);
 };
@@ -60,8 +55,6 @@
     /// @param zone availability zone of this instance
     JobRouter(const JobRouterPolicy &policy, ZoneName zone, JobRouterObserver &observer);
 
-    /// Routes a job. While no dispatcher is known, but one is expected to take over while the job is useful, the job
-    /// waits.
     void submit(CallerId caller, JobRequest request);
     /// The caller closed its connection or canceled.
     void callerGone(CallerId caller);
@@ -112,7 +105,6 @@
         std::map<InstanceName, JobEndReason> refusedBy; ///< With the reason.
         std::uint32_t refusals = 0; ///< Without those of dispatchers in evacuated zones.
         bool hasRun = false; ///< A part is complete.
-        std::optional<Instant> waitsUntil; ///< Set while the job waits for a first dispatcher.
     };
     struct DispatcherState
     {
@@ -131,9 +123,6 @@
     bool route(std::uint64_t number, OpenJob &job, const JobRequest &request);
     void partRefused(std::uint64_t number, std::uint64_t ticket, const JobEnd &end, Instant now);
     void refuseUnroutable(std::uint64_t number);
-    [[nodiscard]] std::optional<Instant> latestTakeover(const JobRequest &request) const;
-    void routeWaiting();
-    void endWaiting(Instant now);
     [[nodiscard]] bool isEvacuated(const DispatcherState &state) const;
     [[nodiscard]] static bool hasAcceptedParts(const OpenJob &job);
     void withdraw(const OpenJob &job);
@@ -149,7 +138,6 @@
     std::map<CallerId, std::uint64_t> m_byCaller;
     std::map<InstanceName, DispatcherState> m_dispatchers;
     std::set<ZoneName> m_evacuatedZones;
-    std::optional<Instant> m_noDispatcherSince; ///< Set while no dispatcher accepts jobs.
 };
 
 } // namespace Eelgrasscleat
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -80,53 +80,11 @@
         answer(number, JobOutcome::Refused, JobEndReason::QueueFull, m_policy.takeoverTime);
         return;
     }
-    if (route(number, job, job.request)) {
-        return;
-    }
-    job.waitsUntil = latestTakeover(job.request);
-    if (!job.waitsUntil) {
+    if (!route(number, job, job.request)) {
         refuseUnroutable(number);
     }
 }
 
-/// @returns until when the job waits for a takeover; nothing if none is expected while the job is useful.
-std::optional<Instant> JobRouter::latestTakeover(const JobRequest &request) const
-{
-    if (dispatcherCount() > 0) {
-        return std::nullopt;
-    }
-    const Instant takeover = m_noDispatcherSince.value_or(request.submitted) + m_policy.takeoverTime;
-    const Duration run = sequentialEstimate(request);
-    const auto useful = std::chrono::duration_cast<Duration>((run * request.stretch + request.latencyTarget)
-                                                             * m_policy.maxLatenessFactor);
-    const Instant latest = std::min(request.deadline, request.submitted + useful) - run;
-    return takeover >= request.submitted && takeover <= latest ? std::optional(latest) : std::nullopt;
-}
-
-/// Routes the jobs that wait for a first dispatcher, the earliest first.
-void JobRouter::routeWaiting()
-{
-    for (auto &it : m_open) {
-        if (it.second.waitsUntil && route(it.first, it.second, it.second.request)) {
-            it.second.waitsUntil.reset();
-        }
-    }
-}
-
-/// Refuses the jobs for which no dispatcher has come in time.
-void JobRouter::endWaiting(Instant now)
-{
-    std::vector<std::uint64_t> late;
-    for (const auto &it : m_open) {
-        if (it.second.waitsUntil && now > *it.second.waitsUntil) {
-            late.push_back(it.first);
-        }
-    }
-    for (const std::uint64_t it : late) {
-        refuseUnroutable(it);
-    }
-}
-
 /// Refuses a job that no dispatcher can take.
 void JobRouter::refuseUnroutable(std::uint64_t number)
 {
@@ -350,7 +308,6 @@
     state.lastReportAt = now;
     state.ownsTargets = true;
     state.routedMilliCores = 0;
-    routeWaiting();
 }
 
 void JobRouter::dispatcherRetired(const InstanceName &name)
@@ -397,12 +354,6 @@
     for (const InstanceName &it : silent) {
         dispatcherLost(it);
     }
-    if (dispatcherCount() > 0) {
-        m_noDispatcherSince.reset();
-    } else if (!m_noDispatcherSince) {
-        m_noDispatcherSince = now;
-    }
-    endWaiting(now);
     std::vector<std::uint64_t> late;
     for (const auto &it : m_open) {
         if (now >= it.second.request.deadline) {
