--- a/unittests/Dispatch/DispatcherLoadTest.cpp
+++ b/unittests/Dispatch/DispatcherLoadTest.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Simulates the users' load on targets of three speeds: jobs must meet their objectives, urgent jobs first, refusals
 /// must come early, and failing targets must be avoided.
-#include "LoadedZone.h"
+#include "FaultyNetworkLoad.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -176,33 +176,6 @@
         return sum;
     }
 
-    static void runMixedLoad(LoadedZone &zone, double factor, int seconds)
-    {
-        for (const JobType &it : { kUrgentWide, kShort, kLong }) {
-            zone.submitLoad(it, factor, std::chrono::seconds(seconds));
-        }
-        zone.run(std::chrono::seconds(seconds + 5));
-    }
-
-    /// Simulates the users' normal load in several zones with network faults. @returns the total counts by priority.
-    static std::map<std::uint32_t, LoadedZone::Tally> runWithFaults(const NetworkFaults &faults)
-    {
-        std::map<std::uint32_t, LoadedZone::Tally> sums;
-        for (std::uint64_t seed = 100; seed < 106; ++seed) {
-            LoadedZone zone(seed);
-            zone.fleet.faults = faults;
-            runMixedLoad(zone, 0.6, 20);
-            CPPUNIT_ASSERT(zone.fleet.violations().empty());
-            for (const auto &it : zone.tallies) {
-                LoadedZone::Tally &sum = sums[it.first];
-                sum.submitted += it.second.submitted;
-                sum.inTime += it.second.inTime;
-                sum.complete += it.second.complete;
-            }
-        }
-        return sums;
-    }
-
     static void assertShare(int count, const LoadedZone::Tally &tally, double share)
     {
         const double seen = static_cast<double>(count) / tally.submitted;
