Admission: the pace of commands counts in the forecast, too; a task without demand isn't placed beside an isolated one

Found on reading the change: with a forecast, the wait for start commands on a full link was no longer counted at arrival; and a task that asks for no resources would have fitted a target that is kept for a suspect.

--- a/lib/Dispatch/DispatcherAdmission.cpp
+++ b/lib/Dispatch/DispatcherAdmission.cpp
@@ -43,6 +43,13 @@
     return milliCores;
 }
 
+/// @returns the time in which the pace of commands lets start commands for @p tasks tasks be sent.
+Duration Dispatcher::Impl::untilSent(std::uint32_t tasks) const
+{
+    constexpr double kMicrosPerSecond = 1e6;
+    return Duration(static_cast<Duration::rep>(tasks / m_pacer.startsPerSecond() * kMicrosPerSecond));
+}
+
 /// @param arrivingRate work that arrives meanwhile and is placed first, in thousandths of a core
 /// @returns the expected time until all queued work of @p priority and more urgent ones has been placed
 Duration Dispatcher::Impl::queueWait(std::uint32_t priority, double arrivingRate, Instant now) const
@@ -53,9 +60,8 @@
     }
     const double availableRate = std::max(kMinCapacityShare * rate, rate - arrivingRate);
     const QueuedWork queued = m_jobTable.queuedWork(priority);
-    constexpr double kMicrosPerSecond = 1e6;
-    const double untilSent = queued.tasks / m_pacer.startsPerSecond() * kMicrosPerSecond;
-    return Duration(static_cast<Duration::rep>(std::max(queued.milliCoreMicros / availableRate, untilSent)));
+    const Duration untilPlaced(static_cast<Duration::rep>(queued.milliCoreMicros / availableRate));
+    return std::max(untilPlaced, untilSent(queued.tasks));
 }
 
 Duration Dispatcher::Impl::expectedWait(const JobRequest &request, Instant now)
@@ -166,7 +172,8 @@
         // More urgent jobs that arrive meanwhile are placed first.
         const double arriving = m_jobTable.moreUrgentArrivals(job.request.priority, now) / serviceRate(now);
         const double stretch = 1 / std::max(kMinCapacityShare, 1 - arriving);
-        wait = std::chrono::duration_cast<Duration>((booking->start - now) * stretch);
+        wait = std::max(std::chrono::duration_cast<Duration>((booking->start - now) * stretch),
+                        untilSent(m_jobTable.queuedWork(job.request.priority).tasks));
         if (now + wait + std::max(booking->end - booking->start, job.criticalPath) <= latestEnd) {
             return true;
         }
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -84,6 +84,7 @@
     void endJob(ActiveJob &job, JobOutcome outcome, JobEndReason reason, Instant now);
     void terminateJob(ActiveJob &job, JobOutcome outcome, JobEndReason reason, Instant now);
     [[nodiscard]] Duration expectedWait(const JobRequest &request, Instant now);
+    [[nodiscard]] Duration untilSent(std::uint32_t tasks) const;
     [[nodiscard]] Duration queueWait(std::uint32_t priority, double arrivingRate, Instant now) const;
     [[nodiscard]] Duration remainingWait(const ActiveJob &job, Instant now) const;
     [[nodiscard]] bool hasSuitableTargets(const JobRequest &request) const;
--- a/lib/Dispatch/TargetSelector.cpp
+++ b/lib/Dispatch/TargetSelector.cpp
@@ -100,8 +100,8 @@
     return end <= job.usefulUntil ? Timeliness::Late : Timeliness::Useless;
 }
 
-/// @returns the cost of running the task on the target; lower is better. A job that is in time or late anyway leaves
-/// the fast targets to those that need them.
+/// @returns the cost of running the task on the target; lower is better. A job that is surely in time leaves the fast
+/// targets to those that need them.
 static double speedCost(Timeliness timeliness, double slowness)
 {
     switch (timeliness) {
@@ -121,7 +121,8 @@
 void TargetSelector::read(Candidate &candidate, Instant now)
 {
     const TargetTracker &tracker = candidate.target->tracker;
-    candidate.available = tracker.hasIsolatedRun() ? ResourceDemand {} : tracker.freeCapacity();
+    candidate.available = tracker.freeCapacity();
+    candidate.hasIsolatedRun = tracker.hasIsolatedRun();
     candidate.runEnds.clear();
     for (const auto &it : tracker.runs()) {
         candidate.runEnds.push_back(tracker.expectedEnd(it.second, now));
@@ -201,7 +202,7 @@
             continue;
         }
         const Timeliness onTarget = timeliness(job, run, it.slowness, now);
-        if (!step.demand.fitsIn(it.available)
+        if (it.hasIsolatedRun || !step.demand.fitsIn(it.available)
             || (step.perTargetLimit > 0 && runsOfStep(tracker, task) >= step.perTargetLimit)) {
             continue;
         }
--- a/lib/Dispatch/TargetSelector.h
+++ b/lib/Dispatch/TargetSelector.h
@@ -67,6 +67,7 @@
     {
         OwnedTarget *target = nullptr;
         ResourceDemand available;
+        bool hasIsolatedRun = false; ///< Nothing may be started beside it.
         double slowness = 1;
         std::vector<Instant> runEnds; ///< Expected ends of its runs.
     };
