Router: jobs wait for a takeover and for the first configuration while they are useful

Hypothesis: a job that waits for the owner is served, mostly late, instead of refused. Change: TakeoverWait says until when a job may wait; submissions before the first configuration wait up to 500 ms for it. Ruled out: jobs that can't be useful or come when the takeover is overdue are refused at once, as before; an instance that stood still drops its waiting jobs, since callers have submitted them elsewhere.

--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <eelgrasscleat/Dispatch/Dispatcher.h>
+#include <eelgrasscleat/Dispatch/TakeoverWait.h>
 #include <eelgrasscleat/Dispatch/TaskDivision.h>
 
 #include <cstdint>
@@ -29,8 +30,7 @@
     DivisionPolicy division;
     /// Maximum number of open jobs. Bounds memory: a job takes about 2 KB.
     std::uint32_t maxOpenJobs = 4000;
-    /// Retry delay given to a refused caller while no dispatcher is known: the time of an ownership takeover.
-    Duration takeoverTime = std::chrono::milliseconds(1500);
+    TakeoverWaitPolicy takeover;
     /// Retry delay given to a refused caller while all zones are evacuated: operators take a zone back after seconds.
     Duration evacuationRetryDelay = std::chrono::milliseconds(2000);
 };
@@ -55,6 +55,7 @@
     /// @param zone availability zone of this instance
     JobRouter(const JobRouterPolicy &policy, ZoneName zone, JobRouterObserver &observer);
 
+    /// Routes a job, or keeps it while a dispatcher is expected to come in time for it.
     void submit(CallerId caller, JobRequest request);
     /// The caller closed its connection or canceled.
     void callerGone(CallerId caller);
@@ -68,6 +69,9 @@
     /// The instance is gone or its session has ended: the results of its jobs will never arrive.
     void dispatcherLost(const InstanceName &name);
 
+    /// This instance stood still: the callers of the jobs that wait for a dispatcher may have submitted them elsewhere.
+    void abandonWaiting();
+
     /// Sets the zones that the operator has evacuated: their dispatchers get no jobs.
     void setEvacuatedZones(std::set<ZoneName> zones);
 
@@ -123,6 +127,9 @@
     bool route(std::uint64_t number, OpenJob &job, const JobRequest &request);
     void partRefused(std::uint64_t number, std::uint64_t ticket, const JobEnd &end, Instant now);
     void refuseUnroutable(std::uint64_t number);
+    void routeWaiting();
+    void endWaiting(Instant now);
+    [[nodiscard]] bool hasDispatcher() const;
     [[nodiscard]] bool isEvacuated(const DispatcherState &state) const;
     [[nodiscard]] static bool hasAcceptedParts(const OpenJob &job);
     void withdraw(const OpenJob &job);
@@ -138,6 +145,8 @@
     std::map<CallerId, std::uint64_t> m_byCaller;
     std::map<InstanceName, DispatcherState> m_dispatchers;
     std::set<ZoneName> m_evacuatedZones;
+    TakeoverWait m_takeoverWait;
+    std::map<std::uint64_t, Instant> m_waiting; ///< Numbers of jobs that wait for a dispatcher, and until when.
 };
 
 } // namespace Eelgrasscleat
--- a/include/eelgrasscleat/Dispatch/JobTypes.h
+++ b/include/eelgrasscleat/Dispatch/JobTypes.h
@@ -73,6 +73,9 @@
     bool othersAccepted = false;
 };
 
+/// @returns the caller's estimate of the job's run time if its steps run one after the other.
+Duration sequentialEstimate(const JobRequest &request);
+
 /// How a job ended.
 enum class JobOutcome
 {
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -3,6 +3,7 @@
 #include <eelgrasscleat/Dispatch/JobRouter.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Eelgrasscleat
 {
@@ -32,16 +33,6 @@
     return tasks;
 }
 
-/// @returns the caller's estimate of the job's run time if its steps run one after the other.
-Duration sequentialEstimate(const JobRequest &request)
-{
-    Duration sum {};
-    for (const JobStep &it : request.steps) {
-        sum += it.estimate;
-    }
-    return sum;
-}
-
 /// Steps that wait for each other and a limit of tasks per target hold for the whole job. Places are counted by cores,
 /// so they don't tell where tasks with other needs can run.
 bool isDivisible(const JobRequest &request)
@@ -66,6 +57,7 @@
     : m_policy(policy)
     , m_zone(std::move(zone))
     , m_observer(observer)
+    , m_takeoverWait(policy.takeover)
 {
 }
 
@@ -77,14 +69,49 @@
     job.request = std::move(request);
     m_byCaller[caller] = number;
     if (m_open.size() > m_policy.maxOpenJobs) {
-        answer(number, JobOutcome::Refused, JobEndReason::QueueFull, m_policy.takeoverTime);
+        answer(number, JobOutcome::Refused, JobEndReason::QueueFull, m_policy.takeover.takeoverTime);
+        return;
+    }
+    if (route(number, job, job.request)) {
         return;
     }
-    if (!route(number, job, job.request)) {
+    if (const auto until = m_takeoverWait.waitUntil(job.request)) {
+        m_waiting[number] = *until;
+    } else {
         refuseUnroutable(number);
     }
 }
 
+/// Routes the jobs that wait for a dispatcher, in the order of their arrival.
+void JobRouter::routeWaiting()
+{
+    std::erase_if(m_waiting, [this](const auto &it) {
+        OpenJob &job = m_open.at(it.first);
+        return route(it.first, job, job.request);
+    });
+}
+
+/// Refuses the jobs for which no dispatcher has come in time.
+void JobRouter::endWaiting(Instant now)
+{
+    std::vector<std::uint64_t> late;
+    for (const auto &it : m_waiting) {
+        if (now > it.second) {
+            late.push_back(it.first);
+        }
+    }
+    for (const std::uint64_t it : late) {
+        refuseUnroutable(it);
+    }
+}
+
+void JobRouter::abandonWaiting()
+{
+    for (const auto &it : std::exchange(m_waiting, {})) {
+        answer(it.first, JobOutcome::Abandoned, JobEndReason::DispatcherLost, {});
+    }
+}
+
 /// Refuses a job that no dispatcher can take.
 void JobRouter::refuseUnroutable(std::uint64_t number)
 {
@@ -93,7 +120,7 @@
     if (evacuated) {
         answer(number, JobOutcome::Refused, JobEndReason::ZoneEvacuated, m_policy.evacuationRetryDelay);
     } else {
-        answer(number, JobOutcome::Refused, JobEndReason::NoDispatcher, m_policy.takeoverTime);
+        answer(number, JobOutcome::Refused, JobEndReason::NoDispatcher, m_policy.takeover.takeoverTime);
     }
 }
 
@@ -229,6 +256,7 @@
         m_jobOfTicket.erase(part.first);
     }
     m_byCaller.erase(caller);
+    m_waiting.erase(number);
     m_open.erase(it);
     m_observer.jobAnswered(caller, end);
 }
@@ -245,6 +273,7 @@
     for (const auto &part : job.parts) {
         m_jobOfTicket.erase(part.first);
     }
+    m_waiting.erase(number);
     m_open.erase(number);
     m_byCaller.erase(it);
 }
@@ -308,6 +337,8 @@
     state.lastReportAt = now;
     state.ownsTargets = true;
     state.routedMilliCores = 0;
+    m_takeoverWait.update(hasDispatcher(), now);
+    routeWaiting();
 }
 
 void JobRouter::dispatcherRetired(const InstanceName &name)
@@ -354,6 +385,8 @@
     for (const InstanceName &it : silent) {
         dispatcherLost(it);
     }
+    m_takeoverWait.update(hasDispatcher(), now);
+    endWaiting(now);
     std::vector<std::uint64_t> late;
     for (const auto &it : m_open) {
         if (now >= it.second.request.deadline) {
@@ -379,6 +412,14 @@
     }));
 }
 
+/// @returns whether any instance owns targets, also while it drains or its zone is evacuated.
+bool JobRouter::hasDispatcher() const
+{
+    return std::any_of(m_dispatchers.begin(), m_dispatchers.end(), [this](const auto &it) {
+        return (it.second.ownsTargets && it.second.load.targets > 0) || isEvacuated(it.second);
+    });
+}
+
 std::set<InstanceName> JobRouter::dispatchersInUse() const
 {
     std::set<InstanceName> names;
--- a/lib/Dispatch/JobTypes.cpp
+++ b/lib/Dispatch/JobTypes.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Names of enumerators used in logs and metrics.
+/// Names of enumerators used in logs and metrics, and estimates of jobs.
 #include <eelgrasscleat/Dispatch/JobTypes.h>
 #include <eelgrasscleat/Dispatch/TargetCommands.h>
 
@@ -73,4 +73,13 @@
     return nameAt(kCommandStatusNames, static_cast<std::size_t>(status));
 }
 
+Duration sequentialEstimate(const JobRequest &request)
+{
+    Duration sum {};
+    for (const JobStep &it : request.steps) {
+        sum += it.estimate;
+    }
+    return sum;
+}
+
 } // namespace Eelgrasscleat
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -60,6 +60,7 @@
         return started;
     }
     m_now = suspendAwareNow();
+    m_startedAt = m_now;
     m_store->registerInstance(m_settings.self);
     m_store->start();
     m_advanceTimer.start();
@@ -89,6 +90,8 @@
                         { "open_jobs", std::uint64_t { m_router.openJobs() } } });
     m_peerLink.reset();
     m_callers->abortConnections();
+    m_unconfigured.clear();
+    m_router.abandonWaiting();
     m_dispatcher.homeLost(m_settings.self.name, m_now);
     m_router.dispatcherLost(m_settings.self.name);
     runDeferredCalls();
@@ -126,6 +129,7 @@
     m_peerLink.advance(status, m_router.dispatchersInUse(), m_now);
     m_log.setSessions(m_peerLink.sessions());
     m_router.advance(m_now);
+    refuseUnconfigured();
     runDeferredCalls();
     const bool ready = m_configuration.isKnown() && !m_onStopped && m_router.dispatcherCount() > 0;
     if (ready != m_ready) {
@@ -273,6 +277,8 @@
     }
     m_callers->setLimits(m_configuration.current());
     m_log.recordEvent("configuration applied", { { "version", version }, { "routes", routes }, { "source", source } });
+    submitUnconfigured();
+    runDeferredCalls();
 }
 
 void DispatchNode::Impl::evacuationsListed(EvacuatedZones zones)
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace Eelgrasscleat
 {
@@ -95,11 +96,20 @@
         Instant receivedAt;
     };
 
+    /// A submission that arrived before the first configuration.
+    struct UnconfiguredRequest
+    {
+        CallerRequest request;
+        Instant receivedAt;
+    };
+
     bool beginEvent();
     void runDeferredCalls();
     void advance();
     void recoverFromStall(Duration gap);
-    void submitJob(CallerRequest &request, const FleetRoute *route);
+    void submitJob(CallerRequest &request, const FleetRoute *route, Instant receivedAt);
+    void submitUnconfigured();
+    void refuseUnconfigured();
     void refuse(const CallerRequest &request, const JobId &id, JobEndReason reason);
     void applyConfiguration(FleetConfiguration configuration, const std::string &source);
     void applyEvacuations(const std::set<ZoneName> &before, const std::string &source);
@@ -125,7 +135,9 @@
     CallerFrontend *m_callers = nullptr;
     CoordinationStore *m_store = nullptr;
     Instant m_now {};
+    Instant m_startedAt {};
     std::map<CallerId, PendingRequest> m_pendingRequests;
+    std::vector<UnconfiguredRequest> m_unconfigured;
     std::map<ShardNumber, FencingToken> m_ownedShards; ///< Owned shards, with the tokens for commands to their targets.
     std::deque<std::function<void()>> m_deferredCalls; ///< Calls between components.
     bool m_ready = false;
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -3,10 +3,14 @@
 #include "NodeImpl.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Eelgrasscleat
 {
 
+/// Time for which submissions wait for the first configuration: a few reads from the store.
+constexpr Duration kConfigurationWait = std::chrono::milliseconds(500);
+
 /// Used where no route determines which part of the path is the job's id; it is usually the last segment.
 static JobId lastPathSegment(const std::string &path)
 {
@@ -18,18 +22,24 @@
     if (!beginEvent()) {
         return; // The stall recovery has closed the connection.
     }
-    const FleetRoute *route = m_configuration.match(request.host, request.path);
     if (!m_configuration.isKnown()) {
-        refuse(request, lastPathSegment(request.path), JobEndReason::NoConfiguration);
+        const bool mayWait = m_now < m_startedAt + kConfigurationWait && !m_onStopped
+            && m_unconfigured.size() < m_settings.router.maxOpenJobs;
+        if (request.action == JobAction::Submit && mayWait) {
+            m_unconfigured.push_back({ std::move(request), m_now });
+        } else {
+            refuse(request, lastPathSegment(request.path), JobEndReason::NoConfiguration);
+        }
         return;
     }
+    const FleetRoute *route = m_configuration.match(request.host, request.path);
     JobId id;
     if (route != nullptr) {
         id = JobId(request.path.substr(route->pathPrefix.size()));
     }
     switch (request.action) {
     case JobAction::Submit:
-        submitJob(request, route);
+        submitJob(request, route, m_now);
         break;
     case JobAction::ReadState:
         m_callers->answerState(request.caller, m_router.isOpen(id));
@@ -48,18 +58,37 @@
     runDeferredCalls();
 }
 
+/// Submits the jobs that waited for the configuration.
+void DispatchNode::Impl::submitUnconfigured()
+{
+    for (UnconfiguredRequest &it : std::exchange(m_unconfigured, {})) {
+        submitJob(it.request, m_configuration.match(it.request.host, it.request.path), it.receivedAt);
+    }
+}
+
+/// Refuses the jobs that waited for the configuration once it is overdue.
+void DispatchNode::Impl::refuseUnconfigured()
+{
+    if (m_now < m_startedAt + kConfigurationWait && !m_onStopped) {
+        return;
+    }
+    for (const UnconfiguredRequest &it : std::exchange(m_unconfigured, {})) {
+        refuse(it.request, lastPathSegment(it.request.path), JobEndReason::NoConfiguration);
+    }
+}
+
 void DispatchNode::Impl::refuse(const CallerRequest &request, const JobId &id, JobEndReason reason)
 {
     JobEnd end;
     end.id = id;
     end.outcome = JobOutcome::Refused;
     end.reason = reason;
-    end.retryAfter = m_settings.router.takeoverTime;
+    end.retryAfter = m_settings.router.takeover.takeoverTime;
     m_log.jobAnswered(end, RouteName(), request.requestId, Duration::zero(), m_now);
     m_callers->answerEnd(request.caller, end);
 }
 
-void DispatchNode::Impl::submitJob(CallerRequest &request, const FleetRoute *route)
+void DispatchNode::Impl::submitJob(CallerRequest &request, const FleetRoute *route, Instant receivedAt)
 {
     if (route == nullptr) {
         refuse(request, lastPathSegment(request.path), JobEndReason::UnknownRoute);
@@ -89,13 +118,13 @@
     job->attempts = route->attempts;
     job->stretch = route->stretch;
     job->latencyTarget = route->latencyTarget;
-    job->submitted = m_now;
-    job->deadline = m_now + (request.timeout > Duration::zero() ? request.timeout : route->timeout);
+    job->submitted = receivedAt;
+    job->deadline = receivedAt + (request.timeout > Duration::zero() ? request.timeout : route->timeout);
     if (m_onStopped) {
         // Jobs that cannot end before the shutdown are refused now; all others are answered in time.
         job->deadline = std::min(job->deadline, m_stopStartedAt + m_settings.answerDeadline);
     }
-    m_pendingRequests[request.caller] = { id, request.requestId, route->name, m_now };
+    m_pendingRequests[request.caller] = { id, request.requestId, route->name, receivedAt };
     m_router.submit(request.caller, std::move(*job));
 }
 
@@ -111,6 +140,7 @@
         m_log.jobAnswered(end, it->second.route, it->second.requestId, m_now - it->second.receivedAt, m_now);
         m_pendingRequests.erase(it);
     }
+    std::erase_if(m_unconfigured, [caller](const auto &held) { return held.request.caller == caller; });
     m_router.callerGone(caller);
     runDeferredCalls();
 }
--- a/unittests/Node/DispatchNodeTest.cpp
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -126,7 +126,9 @@
 {
     CPPUNIT_TEST_SUITE(DispatchNodeTest);
     CPPUNIT_TEST(job_lastRunEnds_callerAnswered);
-    CPPUNIT_TEST(job_beforeConfiguration_refused);
+    CPPUNIT_TEST(job_beforeConfiguration_servedAfterIt);
+    CPPUNIT_TEST(job_configurationOverdue_refused);
+    CPPUNIT_TEST(job_beforeConfigurationCallerGone_notRun);
     CPPUNIT_TEST(job_unknownRoute_refusedWithReason);
     CPPUNIT_TEST(request_beforeConfiguration_refusedWithNoConfiguration);
     CPPUNIT_TEST(evacuation_ownZone_jobsRefusedAndStartsEnd);
@@ -172,11 +174,36 @@
         CPPUNIT_ASSERT(m_callers.ends.at(1).outcome == JobOutcome::Complete);
     }
 
-    void job_beforeConfiguration_refused()
+    void job_beforeConfiguration_servedAfterIt()
     {
         submit(1);
-        CPPUNIT_ASSERT(m_callers.ends.at(1).reason == JobEndReason::NoConfiguration);
+        CPPUNIT_ASSERT(m_callers.ends.empty());
         CPPUNIT_ASSERT(!m_callers.ready);
+        waitUntilReady();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_targets.started.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("job1"), m_targets.started[0].task.job.value);
+    }
+
+    void job_configurationOverdue_refused()
+    {
+        submit(1);
+        EventLoop::waitFor([this] { return m_callers.ends.count(1) == 1; });
+        CPPUNIT_ASSERT(m_callers.ends.at(1).outcome == JobOutcome::Refused);
+        CPPUNIT_ASSERT(m_callers.ends.at(1).reason == JobEndReason::NoConfiguration);
+        submit(2);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("refused at once", std::size_t { 1 }, m_callers.ends.count(2));
+        CPPUNIT_ASSERT(m_callers.ends.at(2).reason == JobEndReason::NoConfiguration);
+        waitUntilReady();
+        CPPUNIT_ASSERT(m_targets.started.empty());
+    }
+
+    void job_beforeConfigurationCallerGone_notRun()
+    {
+        submit(1);
+        m_node->callerEvents().callerDisconnected(CallerId(1));
+        waitUntilReady();
+        CPPUNIT_ASSERT(m_targets.started.empty());
+        CPPUNIT_ASSERT(m_callers.ends.empty());
     }
 
     void job_unknownRoute_refusedWithReason()
