Pacer: an unanswered start command is repeated after 15 ms instead of 30

Change: minRetryDelay 15 ms. Longer measured response times still raise the delay, and a full link or an exhausted processor share stops repetitions; a target that has the run already confirms it. Ruled out: a shorter tick and a shorter long poll while commands are lost: the delay alone reaches the bound. LostCommandsTest follows the constant.

--- a/include/eelgrasscleat/Dispatch/CommandPacer.h
+++ b/include/eelgrasscleat/Dispatch/CommandPacer.h
@@ -14,8 +14,8 @@
 /// Time limits and thresholds of a CommandPacer.
 struct CommandPacerPolicy
 {
-    /// Delay before an unanswered command is sent once more: ten times the usual response time.
-    Duration minRetryDelay = std::chrono::milliseconds(30);
+    /// Delay before an unanswered command is sent once more: several times the usual response time.
+    Duration minRetryDelay = std::chrono::milliseconds(15);
     /// Time for a response. What a lost response holds up waits this long; it is above the tenth of a second for which
     /// a process may get no processor time.
     Duration minTimeout = std::chrono::milliseconds(150);
--- a/unittests/Dispatch/DispatcherLoadTest.cpp
+++ b/unittests/Dispatch/DispatcherLoadTest.cpp
@@ -111,14 +111,14 @@
     {
         const auto tallies = runWithFaults({ 0, 0.05, 0 });
         assertShare(tallies.at(1).inTime, tallies.at(1), 0.9);
-        assertShare(tallies.at(0).inTime, tallies.at(0), 0.7);
+        assertShare(tallies.at(0).inTime, tallies.at(0), 0.8);
     }
 
     void ordersCarriedOutLate_mostJobsInTime()
     {
         const auto tallies = runWithFaults({ 0, 0, 0.05 });
         assertShare(tallies.at(1).inTime, tallies.at(1), 0.9);
-        assertShare(tallies.at(0).inTime, tallies.at(0), 0.7);
+        assertShare(tallies.at(0).inTime, tallies.at(0), 0.8);
     }
 
     void thirdOfCommandsDelayed_urgentJobsServed()
--- a/unittests/Dispatch/LostCommandsTest.cpp
+++ b/unittests/Dispatch/LostCommandsTest.cpp
@@ -94,7 +94,7 @@
 
     void start_unanswered_resentOnceWithSameRunNumber()
     {
-        advanceTime(std::chrono::milliseconds(29));
+        advanceTime(std::chrono::milliseconds(14));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_commands.starts.size());
         advanceTime(std::chrono::milliseconds(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, m_commands.starts.size());
