Router: waiting jobs go off as far as owners have places, and wait again if joining owners refuse them as late

Change: for 300 ms after the first owner, waiting jobs are sent as far as owners report places, the most urgent first; a job that these owners refuse as late waits again. The waiting jobs have a file of their own, and the shape of jobs a private header. Arrival rates in the forecast were not the cause: the flood is no more than the usual load of a second. The grown deployment still refuses 850 jobs in the 1.5 s around the restart: they come before any owner has joined and can't end usefully.

--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -110,6 +110,12 @@
         std::uint32_t refusals = 0; ///< Without those of dispatchers in evacuated zones.
         bool hasRun = false; ///< A part is complete.
     };
+    /// A job that waits for a dispatcher.
+    struct WaitingJob
+    {
+        Instant until {};
+        Instant nextTryAt {};
+    };
     struct DispatcherState
     {
         ZoneName zone;
@@ -127,7 +133,9 @@
     bool route(std::uint64_t number, OpenJob &job, const JobRequest &request);
     void partRefused(std::uint64_t number, std::uint64_t ticket, const JobEnd &end, Instant now);
     void refuseUnroutable(std::uint64_t number);
-    void routeWaiting();
+    [[nodiscard]] bool hasPlaces(const JobRequest &request) const;
+    void routeWaiting(Instant now);
+    bool waitAgain(std::uint64_t number, OpenJob &job, Instant now);
     void endWaiting(Instant now);
     [[nodiscard]] bool hasDispatcher() const;
     [[nodiscard]] bool isEvacuated(const DispatcherState &state) const;
@@ -146,7 +154,7 @@
     std::map<InstanceName, DispatcherState> m_dispatchers;
     std::set<ZoneName> m_evacuatedZones;
     TakeoverWait m_takeoverWait;
-    std::map<std::uint64_t, Instant> m_waiting; ///< Numbers of jobs that wait for a dispatcher, and until when.
+    std::map<std::uint64_t, WaitingJob> m_waiting; ///< By number.
 };
 
 } // namespace Eelgrasscleat
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -2,8 +2,9 @@
 /// Choice of a dispatcher, and responses to callers.
 #include <eelgrasscleat/Dispatch/JobRouter.h>
 
+#include "JobShape.h"
+
 #include <algorithm>
-#include <utility>
 
 namespace Eelgrasscleat
 {
@@ -24,24 +25,6 @@
     return demand;
 }
 
-std::uint32_t totalTasks(const JobRequest &request)
-{
-    std::uint32_t tasks = 0;
-    for (const JobStep &it : request.steps) {
-        tasks += it.tasks;
-    }
-    return tasks;
-}
-
-/// Steps that wait for each other and a limit of tasks per target hold for the whole job. Places are counted by cores,
-/// so they don't tell where tasks with other needs can run.
-bool isDivisible(const JobRequest &request)
-{
-    const JobStep &step = request.steps.front();
-    return request.steps.size() == 1 && step.perTargetLimit == 0 && step.requiredLabel.empty()
-        && step.demand.accelerators == 0;
-}
-
 std::uint32_t largestTaskDemand(const JobRequest &request)
 {
     std::uint32_t largest = 0;
@@ -76,42 +59,12 @@
         return;
     }
     if (const auto until = m_takeoverWait.waitUntil(job.request)) {
-        m_waiting[number] = *until;
+        m_waiting[number] = { *until, {} };
     } else {
         refuseUnroutable(number);
     }
 }
 
-/// Routes the jobs that wait for a dispatcher, in the order of their arrival.
-void JobRouter::routeWaiting()
-{
-    std::erase_if(m_waiting, [this](const auto &it) {
-        OpenJob &job = m_open.at(it.first);
-        return route(it.first, job, job.request);
-    });
-}
-
-/// Refuses the jobs for which no dispatcher has come in time.
-void JobRouter::endWaiting(Instant now)
-{
-    std::vector<std::uint64_t> late;
-    for (const auto &it : m_waiting) {
-        if (now > it.second) {
-            late.push_back(it.first);
-        }
-    }
-    for (const std::uint64_t it : late) {
-        refuseUnroutable(it);
-    }
-}
-
-void JobRouter::abandonWaiting()
-{
-    for (const auto &it : std::exchange(m_waiting, {})) {
-        answer(it.first, JobOutcome::Abandoned, JobEndReason::DispatcherLost, {});
-    }
-}
-
 /// Refuses a job that no dispatcher can take.
 void JobRouter::refuseUnroutable(std::uint64_t number)
 {
@@ -320,6 +273,9 @@
     if (mayTryOthers && now < job.request.deadline && route(number, job, part.request)) {
         return;
     }
+    if (end.reason == JobEndReason::TooLate && waitAgain(number, job, now)) {
+        return;
+    }
     // Tasks of other parts may run, or have run.
     const bool mayHaveRun = hasAcceptedParts(job);
     withdraw(job);
@@ -338,7 +294,7 @@
     state.ownsTargets = true;
     state.routedMilliCores = 0;
     m_takeoverWait.update(hasDispatcher(), now);
-    routeWaiting();
+    routeWaiting(now);
 }
 
 void JobRouter::dispatcherRetired(const InstanceName &name)
@@ -386,6 +342,7 @@
         dispatcherLost(it);
     }
     m_takeoverWait.update(hasDispatcher(), now);
+    routeWaiting(now);
     endWaiting(now);
     std::vector<std::uint64_t> late;
     for (const auto &it : m_open) {
--- a/unittests/Dispatch/JobRouterFixture.h
+++ b/unittests/Dispatch/JobRouterFixture.h
@@ -29,6 +29,7 @@
         m_routed.clear();
         m_withdrawn.clear();
         m_answers.clear();
+        m_priority = 0;
         m_hadComplete = false;
     }
 
@@ -111,6 +112,7 @@
         step.estimate = estimate;
         step.perTargetLimit = perTargetLimit;
         request.steps.push_back(step);
+        request.priority = m_priority;
         request.submitted = m_now;
         request.deadline = m_now + std::chrono::seconds(2);
         m_router->submit(CallerId(caller), request);
@@ -125,6 +127,7 @@
     Instant m_now { std::chrono::seconds(1000) };
     std::optional<JobRouter> m_router;
     std::vector<JobRequest> m_requests;
+    std::uint32_t m_priority = 0; ///< Of the jobs that are submitted.
     bool m_hadComplete = false;
     std::vector<std::pair<InstanceName, std::uint64_t>> m_routed;
     std::vector<std::uint64_t> m_withdrawn;
--- a/unittests/Dispatch/TakeoverWaitTest.cpp
+++ b/unittests/Dispatch/TakeoverWaitTest.cpp
@@ -15,6 +15,11 @@
     CPPUNIT_TEST(takeoverOverdue_usefulJob_refusedAtOnce);
     CPPUNIT_TEST(takeoverFails_waitingJob_refusedWhenOverdue);
     CPPUNIT_TEST(takeoverLate_shortJob_refusedWhenUseless);
+    CPPUNIT_TEST(firstOwnerSmall_manyWaitingJobs_restWaitsForOthers);
+    CPPUNIT_TEST(noOtherOwner_manyWaitingJobs_allRoutedOnceSettled);
+    CPPUNIT_TEST(waitingJobs_fewPlaces_urgentFirst);
+    CPPUNIT_TEST(refusedAsLateWhileOwnersJoin_jobWaits_routedAgain);
+    CPPUNIT_TEST(refusedAsLateOnceSettled_refused);
     CPPUNIT_TEST(ownersLostLater_usefulJob_waitsAgain);
     CPPUNIT_TEST(waitingJob_callerGone_notRouted);
     CPPUNIT_TEST(waitingJob_instanceStoodStill_notRouted);
@@ -65,6 +70,65 @@
         assertRefused(1);
     }
 
+    void firstOwnerSmall_manyWaitingJobs_restWaitsForOthers()
+    {
+        m_router->advance(m_now);
+        submitMany();
+        report("a", "zone", 32000 * 2);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("two tasks fit a target", std::size_t { 2 }, m_routed.size());
+        pass(std::chrono::milliseconds(100));
+        report("b", "other", 32000 * 20);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { kMany }, m_routed.size());
+        CPPUNIT_ASSERT(m_answers.empty());
+    }
+
+    void noOtherOwner_manyWaitingJobs_allRoutedOnceSettled()
+    {
+        m_router->advance(m_now);
+        submitMany();
+        report("a", "zone", 32000 * 2);
+        pass(std::chrono::milliseconds(310));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { kMany }, m_routed.size());
+        CPPUNIT_ASSERT(m_answers.empty());
+    }
+
+    void waitingJobs_fewPlaces_urgentFirst()
+    {
+        m_router->advance(m_now);
+        m_priority = 2;
+        submit(1, 2, std::chrono::milliseconds(200));
+        m_priority = 0;
+        submit(2, 2, std::chrono::milliseconds(200));
+        report("a", "zone", 32000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_routed.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("job2"), m_requests.front().id.value);
+    }
+
+    void refusedAsLateWhileOwnersJoin_jobWaits_routedAgain()
+    {
+        m_router->advance(m_now);
+        submit(1, 2, std::chrono::milliseconds(200));
+        report("a", "zone", 32000 * 2);
+        refuse("a");
+        CPPUNIT_ASSERT(m_answers.empty());
+        pass(std::chrono::milliseconds(50));
+        report("b", "other", 32000 * 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, m_routed.size());
+        CPPUNIT_ASSERT(m_answers.empty());
+    }
+
+    void refusedAsLateOnceSettled_refused()
+    {
+        m_router->advance(m_now);
+        report("a", "zone", 32000 * 2);
+        pass(std::chrono::milliseconds(310));
+        report("a", "zone", 32000 * 2);
+        submit(1, 2, std::chrono::milliseconds(200));
+        refuse("a");
+        CPPUNIT_ASSERT(m_answers.at(1).outcome == JobOutcome::Refused);
+        CPPUNIT_ASSERT(m_answers.at(1).reason == JobEndReason::TooLate);
+    }
+
     void ownersLostLater_usefulJob_waitsAgain()
     {
         m_router->advance(m_now);
@@ -115,7 +179,7 @@
             submit(++caller, 2, std::chrono::milliseconds(200));
             pass(std::chrono::milliseconds(10));
         }
-        report("a", "zone", 32000 * 16);
+        report("a", "zone", 32000 * kJobs);
         const std::size_t refused = m_answers.size();
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
             "each job was routed or refused", static_cast<std::size_t>(kJobs), m_routed.size() + refused);
@@ -124,6 +188,15 @@
     }
 
 private:
+    static constexpr std::uint64_t kMany = 12;
+
+    void submitMany()
+    {
+        for (std::uint64_t i = 1; i <= kMany; ++i) {
+            submit(i, 2, std::chrono::milliseconds(200));
+        }
+    }
+
     void pass(Duration time)
     {
         m_now += time;
