Dispatch: a priority that gets too small a share of what is served goes before the next more urgent one

Hypothesis: with at least 0.8 of the mean share for each kind, callers of the long kind are served at little cost for the others. A priority under 0.8 of the mean goes before the next more urgent one as long as its jobs can be in time; the most urgent one keeps its place; the forecast at arrival follows.

--- a/lib/Dispatch/DispatcherAdmission.cpp
+++ b/lib/Dispatch/DispatcherAdmission.cpp
@@ -103,6 +103,9 @@
     estimate.timeLeft = job.usefulUntil - now;
     estimate.queuedTasks = m_jobTable.queuedWork(job.request.priority).tasks;
     m_observer.jobTooLate(job.request.id, estimate);
+    if (!job.request.onlyInTime) {
+        m_jobTable.recordUnserved(job, now); // No other dispatcher is asked.
+    }
     terminateJob(job, JobOutcome::Refused, JobEndReason::TooLate, now);
 }
 
@@ -170,7 +173,9 @@
     Duration wait = expectedWait(job.request, now);
     if (booking) {
         // More urgent jobs that arrive meanwhile are placed first.
-        const double arriving = m_jobTable.moreUrgentArrivals(job.request.priority, now) / serviceRate(now);
+        const bool isBehind = m_jobTable.isBehind(job.request.priority, now);
+        const double arriving =
+            isBehind ? 0 : m_jobTable.moreUrgentArrivals(job.request.priority, now) / serviceRate(now);
         const double stretch = 1 / std::max(kMinCapacityShare, 1 - arriving);
         wait = std::max(std::chrono::duration_cast<Duration>((booking->start - now) * stretch),
                         untilSent(m_jobTable.queuedWork(job.request.priority).tasks));
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -62,6 +62,7 @@
     const RunName name { task, entry.run };
     TrackedRun &added = target.tracker.addRun(name, run);
     m_jobTable.setState(job, task, TaskState::Dispatched);
+    m_jobTable.recordStart(job, step, std::exp(target.tracker.speed.logSlowness()), now);
     ++job.possibleRuns;
     if (m_health.state(target.healthIndex) == HealthState::Ejected) {
         m_health.recordProbeStart(target.healthIndex);
--- a/lib/Dispatch/JobTable.cpp
+++ b/lib/Dispatch/JobTable.cpp
@@ -49,6 +49,23 @@
     rate.at = now;
 }
 
+void JobTable::recordStart(const ActiveJob &job, const JobStep &step, double slowness, Instant now)
+{
+    const auto onTarget = std::chrono::duration_cast<Duration>(job.criticalPath * slowness);
+    const bool inTime = now + onTarget + kCommandOverhead <= job.objectiveAt;
+    const auto run = static_cast<double>(job.criticalPath.count());
+    m_served.decided(job.request.priority, static_cast<double>(step.demand.milliCores) * run, inTime, now);
+}
+
+void JobTable::recordUnserved(const ActiveJob &job, Instant now)
+{
+    const auto run = static_cast<double>(job.criticalPath.count());
+    for (const JobStep &it : job.request.steps) {
+        const double work = static_cast<double>(it.demand.milliCores) * it.tasks * run;
+        m_served.decided(job.request.priority, work, false, now);
+    }
+}
+
 double JobTable::moreUrgentArrivals(std::uint32_t priority, Instant now) const
 {
     double sum = 0;
@@ -192,9 +209,23 @@
     for (const JobNumber it : m_readyJobs) {
         jobs.push_back(m_jobs.at(it).get());
     }
-    const auto key = [now](const ActiveJob *job) {
+    struct Rank
+    {
+        int inTime;
+        int late;
+    };
+    std::map<std::uint32_t, Rank> ranks; // By priority.
+    int rank = 0;
+    for (const auto &it : m_queued) {
+        // Before the next more urgent priority only, so that the most urgent jobs keep their place.
+        ranks[it.first] = { m_served.isBehind(it.first, now) && rank > 2 ? rank - 3 : rank, rank };
+        rank += 2;
+    }
+    const auto key = [now, &ranks](const ActiveJob *job) {
+        const Rank &ofPriority = ranks.at(job->request.priority);
         const bool late = now + job->criticalPath + kCommandOverhead > job->objectiveAt;
-        return std::make_tuple(job->request.priority, !job->hasBegun(), late, job->objectiveAt, job->number);
+        return std::make_tuple(
+            late ? ofPriority.late : ofPriority.inTime, !job->hasBegun(), late, job->objectiveAt, job->number);
     };
     std::sort(jobs.begin(), jobs.end(), [&key](const ActiveJob *a, const ActiveJob *b) { return key(a) < key(b); });
     return jobs;
--- a/lib/Dispatch/JobTable.h
+++ b/lib/Dispatch/JobTable.h
@@ -5,6 +5,7 @@
 #include <eelgrasscleat/Dispatch/Dispatcher.h>
 #include <eelgrasscleat/Placement/SpeedModel.h>
 
+#include "ServedShares.h"
 #include "TargetTracker.h"
 
 #include <map>
@@ -94,7 +95,18 @@
     /// Marks the tasks of blocked steps as ready if all predecessors are done.
     void unblock(ActiveJob &job);
 
-    /// @returns jobs with ready tasks in scheduling order: by priority; within a priority, jobs already started come
+    /// Counts a task that is started now. @param slowness run time on its target, relative to the reference target
+    void recordStart(const ActiveJob &job, const JobStep &step, double slowness, Instant now);
+    /// Counts the tasks of a job that ends unserved.
+    void recordUnserved(const ActiveJob &job, Instant now);
+    /// @returns whether a priority's jobs are placed before more urgent ones, since it gets too small a share.
+    [[nodiscard]] bool isBehind(std::uint32_t priority, Instant now) const
+    {
+        return m_served.isBehind(priority, now);
+    }
+
+    /// @returns jobs with ready tasks in scheduling order: those of priorities that get too small a share as long as
+    /// they can be in time, then by priority; within a priority, jobs already started come
     /// first, then jobs that can still meet their latency objective, each sorted by the time of the objective.
     [[nodiscard]] std::vector<ActiveJob *> readyJobs(Instant now) const;
     /// @returns the queued work of @p priority and all more urgent priorities.
@@ -131,6 +143,7 @@
     std::map<std::uint32_t, QueuedWork> m_queued; ///< By priority.
     std::map<std::uint32_t, ArrivalRate> m_arrivals; ///< By priority.
     std::map<RouteName, SizeModel> m_sizes;
+    ServedShares m_served;
     std::uint64_t m_lastNumber = 0;
 };
 
--- a/unittests/Dispatch/BurstLoad.h
+++ b/unittests/Dispatch/BurstLoad.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace Eelgrasscleat
@@ -78,6 +79,19 @@
     return result;
 }
 
+/// No kind of job may get less of the mean share of jobs in time: the aim for every load.
+constexpr double kLeastShareOfMean = 0.8;
+
+/// Asserts that a kind's share of jobs in time is at least @p share of the mean.
+inline void assertShareOfMean(const BurstResult &result, std::uint32_t priority, double share)
+{
+    const double kind = result.inTimeShare(priority);
+    const double mean = result.meanInTimeShare();
+    CPPUNIT_ASSERT_MESSAGE("priority " + std::to_string(priority) + ": " + std::to_string(kind) + ", mean "
+                               + std::to_string(mean),
+                           kind >= share * mean);
+}
+
 /// @returns the time after which the given share of the refused jobs of all kinds had been refused.
 inline Duration refusalTime(const BurstResult &result, double share)
 {
