Router: waiting jobs in the log, and refused as not run when their deadline passes; ranks of priorities in a function of their own

Cause: reading the diff: a job that waits left no line, so an operator could not tell its wait from a queue; a job without an estimate that waited until its deadline was answered as one that may have run, though it can't have; the order of priorities was computed inside readyJobs. Change: `job waits` with the longest wait and the number of owners known; refused with deadline_passed; JobTable::priorityRanks.

--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -42,6 +42,8 @@
     virtual ~JobRouterObserver() = default;
     /// Submits a job, or a part of it, to a dispatcher. A dispatcher never has two parts of a job.
     virtual void jobRouted(const InstanceName &dispatcher, std::uint64_t ticket, const JobRequest &request) = 0;
+    /// A job waits for a dispatcher, at most until @p until.
+    virtual void jobWaits(const JobRequest &request, Instant until) = 0;
     /// Cancels a job or part of it at a dispatcher.
     virtual void jobWithdrawn(const InstanceName &dispatcher, std::uint64_t ticket) = 0;
     /// Responds to the caller; called once for each submitted job unless its caller has disconnected.
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -60,6 +60,7 @@
     }
     if (const auto until = m_takeoverWait.waitUntil(job.request)) {
         m_waiting[number] = { *until, {} };
+        m_observer.jobWaits(job.request, *until);
     } else {
         refuseUnroutable(number);
     }
@@ -351,8 +352,9 @@
         }
     }
     for (const std::uint64_t it : late) {
+        const JobOutcome outcome = m_waiting.count(it) > 0 ? JobOutcome::Refused : JobOutcome::Expired;
         withdraw(m_open.at(it));
-        answer(it, JobOutcome::Expired, JobEndReason::DeadlinePassed, {});
+        answer(it, outcome, JobEndReason::DeadlinePassed, {});
     }
 }
 
--- a/lib/Dispatch/JobTable.cpp
+++ b/lib/Dispatch/JobTable.cpp
@@ -202,6 +202,20 @@
     }
 }
 
+/// A priority that is behind goes before the next more urgent one only, and never before the most urgent one.
+std::map<std::uint32_t, JobTable::Rank> JobTable::priorityRanks(Instant now) const
+{
+    constexpr int kSpacing = 2; // Leaves a rank between two priorities.
+    std::map<std::uint32_t, Rank> ranks;
+    int rank = 0;
+    for (const auto &it : m_queued) {
+        const bool goesFirst = rank > kSpacing && m_served.isBehind(it.first, now);
+        ranks[it.first] = { goesFirst ? rank - kSpacing - 1 : rank, rank };
+        rank += kSpacing;
+    }
+    return ranks;
+}
+
 std::vector<ActiveJob *> JobTable::readyJobs(Instant now) const
 {
     std::vector<ActiveJob *> jobs;
@@ -209,18 +223,7 @@
     for (const JobNumber it : m_readyJobs) {
         jobs.push_back(m_jobs.at(it).get());
     }
-    struct Rank
-    {
-        int inTime;
-        int late;
-    };
-    std::map<std::uint32_t, Rank> ranks; // By priority.
-    int rank = 0;
-    for (const auto &it : m_queued) {
-        // Before the next more urgent priority only, so that the most urgent jobs keep their place.
-        ranks[it.first] = { m_served.isBehind(it.first, now) && rank > 2 ? rank - 3 : rank, rank };
-        rank += 2;
-    }
+    const std::map<std::uint32_t, Rank> ranks = priorityRanks(now);
     const auto key = [now, &ranks](const ActiveJob *job) {
         const Rank &ofPriority = ranks.at(job->request.priority);
         const bool late = now + job->criticalPath + kCommandOverhead > job->objectiveAt;
--- a/lib/Dispatch/JobTable.h
+++ b/lib/Dispatch/JobTable.h
@@ -95,7 +95,8 @@
     /// Marks the tasks of blocked steps as ready if all predecessors are done.
     void unblock(ActiveJob &job);
 
-    /// Counts a task that is started now. @param slowness run time on its target, relative to the reference target
+    /// Counts a task that is started now.
+    /// @param slowness run time on its target, relative to the reference target
     void recordStart(const ActiveJob &job, const JobStep &step, double slowness, Instant now);
     /// Counts the tasks of a job that ends unserved.
     void recordUnserved(const ActiveJob &job, Instant now);
@@ -105,9 +106,9 @@
         return m_served.isBehind(priority, now);
     }
 
-    /// @returns jobs with ready tasks in scheduling order: those of priorities that get too small a share as long as
-    /// they can be in time, then by priority; within a priority, jobs already started come
-    /// first, then jobs that can still meet their latency objective, each sorted by the time of the objective.
+    /// @returns jobs with ready tasks in scheduling order: by priority, where one that gets too small a share precedes
+    /// the next more urgent one with the jobs that can be in time; within a priority, jobs already started come first,
+    /// then jobs that can still meet their latency objective, each sorted by the time of the objective.
     [[nodiscard]] std::vector<ActiveJob *> readyJobs(Instant now) const;
     /// @returns the queued work of @p priority and all more urgent priorities.
     [[nodiscard]] QueuedWork queuedWork(std::uint32_t priority) const;
@@ -133,6 +134,14 @@
         Instant at {};
     };
 
+    /// Place of a priority's jobs in the scheduling order; lower goes first.
+    struct Rank
+    {
+        int inTime = 0; ///< Of jobs that can be in time.
+        int late = 0; ///< Of all others.
+    };
+
+    [[nodiscard]] std::map<std::uint32_t, Rank> priorityRanks(Instant now) const;
     [[nodiscard]] static double decayed(const ArrivalRate &rate, Instant now);
     [[nodiscard]] Duration criticalPathTime(const JobRequest &request);
 
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -74,6 +74,7 @@
 
     // JobRouterObserver.
     void jobRouted(const InstanceName &dispatcher, std::uint64_t ticket, const JobRequest &request) override;
+    void jobWaits(const JobRequest &request, Instant until) override;
     void jobWithdrawn(const InstanceName &dispatcher, std::uint64_t ticket) override;
     void jobAnswered(CallerId caller, const JobEnd &end) override;
 
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -158,6 +158,16 @@
     });
 }
 
+void DispatchNode::Impl::jobWaits(const JobRequest &request, Instant until)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - m_now);
+    m_log.recordEvent("job waits",
+                      { { "job", request.id.value },
+                        { "request", request.requestId },
+                        { "dispatchers", std::uint64_t { m_router.dispatcherCount() } },
+                        { "at_most_ms", static_cast<std::uint64_t>(std::max<std::int64_t>(0, left.count())) } });
+}
+
 void DispatchNode::Impl::jobWithdrawn(const InstanceName &dispatcher, std::uint64_t ticket)
 {
     if (dispatcher != m_settings.self.name) {
--- a/unittests/Dispatch/DividedFleet.h
+++ b/unittests/Dispatch/DividedFleet.h
@@ -154,6 +154,9 @@
                 owner.dispatcher.submit({ name, ticket }, request, fleet.queue.now());
             });
         }
+        void jobWaits(const JobRequest &, Instant) override
+        {
+        }
         void jobWithdrawn(const InstanceName &dispatcher, std::uint64_t ticket) override
         {
             Owner &owner = fleet.owner(dispatcher);
--- a/unittests/Dispatch/JobRouterFixture.h
+++ b/unittests/Dispatch/JobRouterFixture.h
@@ -39,6 +39,9 @@
         m_routed.emplace_back(dispatcher, ticket);
         m_requests.push_back(request);
     }
+    void jobWaits(const JobRequest &, Instant) override
+    {
+    }
     void jobWithdrawn(const InstanceName &, std::uint64_t ticket) override
     {
         m_withdrawn.push_back(ticket);
