Dispatch: a job goes to the owner where it ends first if none can run it in time

Cause: with one owner a zone, each of 16 targets, a job that the first two owners refused as late went to the third one, however long it had to wait there, and owners let jobs in whose expected end left no margin for wrong estimates (callers' are off by 0.4).

Change: a refusal tells the home when the job would end there if it may be late. An owner refuses at first what is not expected to be in time with a margin of 1.35 on wait and run; if all asked refuse, the home sends the job to the owner with the earliest expected end, then to the next one. "Not run" stays true: a refused part has no start.

--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <eelgrasscleat/Dispatch/Dispatcher.h>
+#include <eelgrasscleat/Dispatch/LateOffers.h>
 #include <eelgrasscleat/Dispatch/TakeoverWait.h>
 #include <eelgrasscleat/Dispatch/TaskDivision.h>
 
@@ -24,8 +25,8 @@
     /// Expected wait that a dispatcher in another availability zone must save: covers two zone crossings and the price
     /// of the transferred bytes.
     Duration crossZonePenalty = std::chrono::milliseconds(25);
-    /// Maximum number of dispatchers that may refuse a job or parts of it before it is refused to the caller; each
-    /// costs a round trip.
+    /// Maximum number of dispatchers asked to run a job in time before one that may run it late is asked, or the job is
+    /// refused to the caller; each costs a round trip.
     std::uint32_t maxDispatchersTried = 3;
     DivisionPolicy division;
     /// Maximum number of open jobs. Bounds memory: a job takes about 2 KB.
@@ -110,6 +111,7 @@
         std::map<std::uint64_t, Part> parts; ///< Parts without a result, by ticket.
         std::map<InstanceName, JobEndReason> refusedBy; ///< With the reason.
         std::uint32_t refusals = 0; ///< Without those of dispatchers in evacuated zones.
+        LateOffers lateOffers; ///< Of dispatchers that have refused the job.
         bool hasRun = false; ///< A part is complete.
     };
     /// A job that waits for a dispatcher.
@@ -133,6 +135,8 @@
     [[nodiscard]] std::vector<TaskShare>
     chooseDispatchers(const OpenJob &job, const JobRequest &request, std::size_t &candidateCount) const;
     bool route(std::uint64_t number, OpenJob &job, const JobRequest &request);
+    bool routeLate(std::uint64_t number, OpenJob &job, const JobRequest &request);
+    void send(std::uint64_t number, OpenJob &job, const InstanceName &dispatcher, JobRequest request);
     void partRefused(std::uint64_t number, std::uint64_t ticket, const JobEnd &end, Instant now);
     void refuseUnroutable(std::uint64_t number);
     [[nodiscard]] bool hasPlaces(const JobRequest &request) const;
--- a/include/eelgrasscleat/Dispatch/JobTypes.h
+++ b/include/eelgrasscleat/Dispatch/JobTypes.h
@@ -66,7 +66,7 @@
     Duration latencyTarget {}; ///< Fixed part of the latency objective, added to the stretched run time.
     Instant submitted; ///< Arrival time of the caller's request.
     Instant deadline; ///< Time at which the caller stops waiting.
-    /// Refused if it is expected to miss its objective: the home has other dispatchers to ask.
+    /// Refused unless it is expected to meet its objective: the home has other dispatchers to ask.
     bool onlyInTime = false;
     /// Other parts of the job have been accepted. Never refused as late, since the caller could not be told truly that
     /// the job has not run.
@@ -125,6 +125,9 @@
     JobOutcome outcome = JobOutcome::Refused;
     JobEndReason reason = JobEndReason::None;
     Duration retryAfter {}; ///< If refused: delay after which a retry is likely to succeed.
+    /// If refused because of JobRequest::onlyInTime: time until the expected end if the dispatcher is asked again
+    /// without it; zero if the result would be of no use.
+    Duration lateEnd {};
 };
 
 /// Identifies a task of a job.
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -128,7 +128,7 @@
         retryAfter = std::clamp(expectedWait(job.request, now), kMinRetryDelay, kMaxRetryDelay);
     }
     const InstanceName home = job.origin.home;
-    const JobEnd end { job.request.id, job.origin.ticket, outcome, reason, retryAfter };
+    const JobEnd end { job.request.id, job.origin.ticket, outcome, reason, retryAfter, job.lateEnd };
     m_jobTable.remove(job.number);
     m_observer.jobEnded(home, end);
 }
--- a/lib/Dispatch/DispatcherAdmission.cpp
+++ b/lib/Dispatch/DispatcherAdmission.cpp
@@ -18,6 +18,14 @@
 /// of the freed capacity is too small for more urgent tasks.
 constexpr double kMinCapacityShare = 0.1;
 
+/// @returns the time with the margin for wrong estimates, unless the objective leaves none even to an immediate start.
+Duration withMargin(Duration time, const ActiveJob &job)
+{
+    const auto longRun = std::chrono::duration_cast<Duration>(job.criticalPath * kRunTimeFactor);
+    const bool hasMargin = job.request.submitted + longRun <= job.objectiveAt;
+    return std::chrono::duration_cast<Duration>(time * (hasMargin ? kRunTimeFactor : 1));
+}
+
 } // namespace
 
 void Dispatcher::Impl::refuse(const JobOrigin &origin, const JobId &id, JobEndReason reason, Duration retryAfter)
@@ -152,14 +160,9 @@
     return last;
 }
 
-/// Refuses a job that has just been added if it is expected to end too late behind the jobs that precede it.
-/// @returns whether it was let in
-bool Dispatcher::Impl::admit(ActiveJob &job, Instant now)
+/// @returns when a job that has just been added is expected to start and end behind the jobs that precede it
+Dispatcher::Impl::ExpectedTimes Dispatcher::Impl::expectedTimes(const ActiveJob &job, Instant now)
 {
-    if (job.request.othersAccepted) {
-        return true;
-    }
-    const Instant latestEnd = job.request.onlyInTime ? job.objectiveAt : job.usefulUntil;
     StartForecast forecast = targetForecast(job.request.service, now);
     std::optional<StartForecast::Booking> booking;
     for (const ActiveJob *it : m_jobTable.readyJobs(now)) {
@@ -170,22 +173,40 @@
             break;
         }
     }
-    Duration wait = expectedWait(job.request, now);
-    if (booking) {
-        // More urgent jobs that arrive meanwhile are placed first.
-        const bool isBehind = m_jobTable.isBehind(job.request.priority, now);
-        const double arriving =
-            isBehind ? 0 : m_jobTable.moreUrgentArrivals(job.request.priority, now) / serviceRate(now);
-        const double stretch = 1 / std::max(kMinCapacityShare, 1 - arriving);
-        wait = std::max(std::chrono::duration_cast<Duration>((booking->start - now) * stretch),
-                        untilSent(m_jobTable.queuedWork(job.request.priority).tasks));
-        if (now + wait + std::max(booking->end - booking->start, job.criticalPath) <= latestEnd) {
-            return true;
+    if (!booking) {
+        return { expectedWait(job.request, now), job.criticalPath };
+    }
+    // More urgent jobs that arrive meanwhile are placed first.
+    const bool isBehind = m_jobTable.isBehind(job.request.priority, now);
+    const double arriving = isBehind ? 0 : m_jobTable.moreUrgentArrivals(job.request.priority, now) / serviceRate(now);
+    const double stretch = 1 / std::max(kMinCapacityShare, 1 - arriving);
+    const auto wait = std::chrono::duration_cast<Duration>((booking->start - now) * stretch);
+    return { std::max(wait, untilSent(m_jobTable.queuedWork(job.request.priority).tasks)),
+             std::max(booking->end - booking->start, job.criticalPath) };
+}
+
+/// Refuses a job that has just been added if it is expected to end too late.
+/// @returns whether it was let in
+bool Dispatcher::Impl::admit(ActiveJob &job, Instant now)
+{
+    if (job.request.othersAccepted) {
+        return true;
+    }
+    const ExpectedTimes times = expectedTimes(job, now);
+    const bool isUseful = now + times.wait + times.run <= job.usefulUntil;
+    if (!job.request.onlyInTime) {
+        if (!isUseful) {
+            refuseTooLate(job, times.wait, now);
         }
-    } else if (now + wait + job.criticalPath <= latestEnd) {
+        return isUseful;
+    }
+    if (now + withMargin(times.wait + times.run, job) <= job.objectiveAt) {
         return true;
     }
-    refuseTooLate(job, wait, now);
+    if (isUseful) {
+        job.lateEnd = times.wait + times.run;
+    }
+    refuseTooLate(job, times.wait, now);
     return false;
 }
 
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -79,6 +79,13 @@
         Instant lastUsedAt {};
     };
 
+    /// Expected times of a queued job.
+    struct ExpectedTimes
+    {
+        Duration wait {}; ///< Until its last task starts.
+        Duration run {}; ///< From then on.
+    };
+
     // Jobs.
     void refuse(const JobOrigin &origin, const JobId &id, JobEndReason reason, Duration retryAfter);
     void endJob(ActiveJob &job, JobOutcome outcome, JobEndReason reason, Instant now);
@@ -90,6 +97,7 @@
     [[nodiscard]] bool hasSuitableTargets(const JobRequest &request) const;
     [[nodiscard]] StartForecast targetForecast(const ServiceName &service, Instant now) const;
     [[nodiscard]] std::optional<StartForecast::Booking> book(StartForecast &forecast, const ActiveJob &job);
+    [[nodiscard]] ExpectedTimes expectedTimes(const ActiveJob &job, Instant now);
     bool admit(ActiveJob &job, Instant now);
     void refuseTooLate(ActiveJob &job, Duration wait, Instant now);
     [[nodiscard]] double serviceRate(Instant now) const;
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -97,28 +97,52 @@
     std::size_t candidates = 0;
     const auto shares = chooseDispatchers(job, request, candidates);
     const bool hasOthers =
-        !isRemainder && job.refusals + 1 < m_policy.maxDispatchersTried && candidates > shares.size();
+        !job.lateOffers.isEmpty() || (job.refusals + 1 < m_policy.maxDispatchersTried && candidates > shares.size());
+    const bool onlyInTime = hasOthers && !isRemainder;
     std::uint32_t firstTask = request.steps.front().firstTask;
     for (const TaskShare &it : shares) {
-        const std::uint64_t ticket = ++m_lastTicket;
-        Part &part = job.parts[ticket];
-        part.dispatcher = it.name;
-        part.request = request;
-        part.request.deadline = job.request.deadline; // A planned stop may have shortened it since.
-        part.request.onlyInTime = hasOthers;
-        part.request.othersAccepted = isRemainder;
+        JobRequest part = request;
+        part.onlyInTime = onlyInTime;
+        part.othersAccepted = isRemainder;
         if (shares.size() > 1) {
-            part.request.steps.front().firstTask = firstTask;
-            part.request.steps.front().tasks = it.tasks;
+            part.steps.front().firstTask = firstTask;
+            part.steps.front().tasks = it.tasks;
             firstTask += it.tasks;
         }
-        m_jobOfTicket[ticket] = number;
-        m_dispatchers[it.name].routedMilliCores += totalDemand(part.request);
-        m_observer.jobRouted(it.name, ticket, part.request);
+        send(number, job, it.name, std::move(part));
     }
     return !shares.empty();
 }
 
+/// Sends a job, or a part of it, to a dispatcher.
+void JobRouter::send(std::uint64_t number, OpenJob &job, const InstanceName &dispatcher, JobRequest request)
+{
+    const std::uint64_t ticket = ++m_lastTicket;
+    Part &part = job.parts[ticket];
+    part.dispatcher = dispatcher;
+    part.request = std::move(request);
+    part.request.deadline = job.request.deadline; // A planned stop may have shortened it since.
+    m_jobOfTicket[ticket] = number;
+    m_dispatchers[dispatcher].routedMilliCores += totalDemand(part.request);
+    m_observer.jobRouted(dispatcher, ticket, part.request);
+}
+
+/// Sends a job that no dispatcher is expected to run in time to the one where it is expected to end first.
+/// @returns whether there was one that would run it
+bool JobRouter::routeLate(std::uint64_t number, OpenJob &job, const JobRequest &request)
+{
+    while (const auto dispatcher = job.lateOffers.takeBest()) {
+        const auto state = m_dispatchers.find(*dispatcher);
+        if (state != m_dispatchers.end() && canRun(state->second, request)) {
+            JobRequest late = request;
+            late.onlyInTime = false;
+            send(number, job, *dispatcher, std::move(late));
+            return true;
+        }
+    }
+    return false;
+}
+
 /// @returns whether the dispatcher may take tasks of the job.
 bool JobRouter::canRun(const DispatcherState &state, const JobRequest &request) const
 {
@@ -268,6 +292,9 @@
     m_jobOfTicket.erase(ticket);
     job.refusedBy[part.dispatcher] = end.reason;
     job.refusals += end.reason == JobEndReason::ZoneEvacuated ? 0 : 1;
+    if (end.lateEnd > Duration::zero()) {
+        job.lateOffers.add(part.dispatcher, now + end.lateEnd);
+    }
     // A part that follows accepted ones is not refused as late a second time, except by instances of earlier versions.
     const bool isFirstOfRemainder = hasAcceptedParts(job) && !part.request.othersAccepted;
     const bool mayTryOthers = job.refusals < m_policy.maxDispatchersTried || isFirstOfRemainder;
@@ -277,6 +304,9 @@
     if (end.reason == JobEndReason::TooLate && waitAgain(number, job, now)) {
         return;
     }
+    if (!hasAcceptedParts(job) && now < job.request.deadline && routeLate(number, job, part.request)) {
+        return;
+    }
     // Tasks of other parts may run, or have run.
     const bool mayHaveRun = hasAcceptedParts(job);
     withdraw(job);
--- a/lib/Dispatch/JobRouterWaiting.cpp
+++ b/lib/Dispatch/JobRouterWaiting.cpp
@@ -53,6 +53,7 @@
     }
     job.refusedBy.clear();
     job.refusals = 0;
+    job.lateOffers.clear();
     m_waiting[number] = { until, now + m_policy.takeover.retryInterval };
     m_observer.jobWaits(job.request, until);
     return true;
--- a/lib/Dispatch/JobTable.h
+++ b/lib/Dispatch/JobTable.h
@@ -17,6 +17,10 @@
 namespace Eelgrasscleat
 {
 
+/// A job is expected to meet its objective only if it still does with its expected run time multiplied by this. Covers
+/// the spread of callers' estimates.
+constexpr double kRunTimeFactor = 1.35;
+
 /// State of a task.
 enum class TaskState
 {
@@ -48,6 +52,7 @@
     Duration criticalPath {}; ///< Expected run time of its critical path on the reference target.
     Instant objectiveAt {}; ///< Completion by this time meets the latency objective.
     Instant usefulUntil {}; ///< Completion after this time is of no use to the caller.
+    Duration lateEnd {}; ///< See JobEnd::lateEnd.
 
     /// @returns whether the job can no longer be refused as not run.
     [[nodiscard]] bool hasBegun() const
--- a/lib/Dispatch/TargetSelector.cpp
+++ b/lib/Dispatch/TargetSelector.cpp
@@ -16,9 +16,6 @@
 /// Relative cost of each core left unused. Half a percent of run time per core keeps large gaps for wide tasks, but
 /// never outweighs the difference between speed classes, which is 40% or more.
 constexpr double kUnusedCoreWeight = 0.005;
-/// A task meets its objective on a target only if it still does with its expected run time multiplied by this. Covers
-/// the spread of callers' estimates.
-constexpr double kRunTimeFactor = 1.35;
 /// Time that commands and reports add to a run: two round trips and their processing.
 constexpr Duration kCommandOverhead = std::chrono::milliseconds(15);
 /// Cost of a target on which the task would miss its objective: above that of any target on which it meets it.
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -123,6 +123,7 @@
     message.set_reason(static_cast<std::uint32_t>(reason));
     message.set_targets_crashed(targetsCrashed);
     message.set_retry_after_us(toMicroseconds(end.retryAfter));
+    message.set_late_end_us(toMicroseconds(end.lateEnd));
 }
 
 std::optional<JobEnd> readEnd(const schema::DispatchEnd &message)
@@ -137,6 +138,7 @@
     end.outcome = static_cast<JobOutcome>(message.outcome());
     end.reason = message.targets_crashed() ? JobEndReason::TargetsCrashed : static_cast<JobEndReason>(message.reason());
     end.retryAfter = toDuration(message.retry_after_us());
+    end.lateEnd = toDuration(message.late_end_us());
     return end;
 }
 
--- a/unittests/Dispatch/DividedFleet.h
+++ b/unittests/Dispatch/DividedFleet.h
@@ -12,6 +12,8 @@
 #include <cmath>
 #include <map>
 #include <memory>
+#include <numeric>
+#include <vector>
 
 namespace Eelgrasscleat
 {
@@ -38,11 +40,22 @@
 constexpr Duration kMessageTime = std::chrono::microseconds(700);
 constexpr Duration kStatusInterval = std::chrono::milliseconds(80);
 
+/// How the targets are dealt to the owners.
+enum class TargetDeal
+{
+    ByTurns, ///< With three owners, each gets the targets of one speed.
+    Shuffled, ///< As by the hash of their names.
+};
+
 /// Owners, homes, and the messages between them.
 class DividedFleet
 {
 public:
-    DividedFleet(std::uint64_t seed, std::size_t owners, std::size_t homes, std::size_t maxParts)
+    DividedFleet(std::uint64_t seed,
+                 std::size_t owners,
+                 std::size_t homes,
+                 std::size_t maxParts,
+                 TargetDeal deal = TargetDeal::ByTurns)
         : fleet(queue, seed)
     {
         fleet.addTargets(kTargets, { { 0.6, 1.0, 1.6 }, { 64000, 64000, 96000 } });
@@ -54,8 +67,14 @@
         for (std::size_t i = 0; i < homes; ++i) {
             m_homes.push_back(std::make_unique<Home>(*this, policy, InstanceName("home-" + std::to_string(i))));
         }
+        std::vector<std::size_t> turns(fleet.targets.size());
+        std::iota(turns.begin(), turns.end(), std::size_t { 0 });
+        if (deal == TargetDeal::Shuffled) {
+            std::shuffle(turns.begin(), turns.end(), fleet.random);
+        }
         for (std::size_t i = 0; i < fleet.targets.size(); ++i) {
-            m_owners[i % owners]->dispatcher.targetOwned(fleet.targets[i].description, FencingToken(1), queue.now());
+            m_owners[turns[i] % owners]->dispatcher.targetOwned(
+                fleet.targets[i].description, FencingToken(1), queue.now());
         }
         tick();
         queue.runUntil(queue.now() + std::chrono::milliseconds(500));
@@ -274,13 +293,17 @@
 
 /// @returns earned worth over owed worth of three schedules of wide jobs on the fleet.
 /// @param maxParts 1 for whole jobs
-inline double earnedShare(std::size_t owners, std::size_t maxParts, double jobsPerSecond)
+inline double earnedShare(std::size_t owners,
+                          std::size_t maxParts,
+                          double jobsPerSecond,
+                          TargetDeal deal = TargetDeal::ByTurns,
+                          std::uint64_t seeds = 3)
 {
     constexpr std::size_t kHomes = 8;
     double owed = 0;
     double earned = 0;
-    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-        DividedFleet fleet(seed, owners, kHomes, maxParts);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        DividedFleet fleet(seed, owners, kHomes, maxParts, deal);
         fleet.play(jobsPerSecond, std::chrono::seconds(4));
         CPPUNIT_ASSERT_EQUAL(0, fleet.falseRefusals);
         owed += fleet.owed;
--- a/unittests/Node/PeerMessagesTest.cpp
+++ b/unittests/Node/PeerMessagesTest.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(PeerMessagesTest);
     CPPUNIT_TEST(end_targetsCrashed_readByThisVersionAndEarlierOnes);
+    CPPUNIT_TEST(end_refusedAsLate_offerReadByThisVersion);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -28,6 +29,19 @@
         message.clear_targets_crashed();
         CPPUNIT_ASSERT(readEnd(message)->outcome == JobOutcome::Failed);
     }
+
+    void end_refusedAsLate_offerReadByThisVersion()
+    {
+        JobEnd end;
+        end.id = JobId("job");
+        end.reason = JobEndReason::TooLate;
+        end.lateEnd = std::chrono::milliseconds(250);
+        schema::DispatchEnd message;
+        writeEnd(end, message);
+        CPPUNIT_ASSERT(readEnd(message)->lateEnd == std::chrono::milliseconds(250));
+        message.clear_late_end_us();
+        CPPUNIT_ASSERT_MESSAGE("earlier versions make no offer", readEnd(message)->lateEnd == Duration::zero());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerMessagesTest);
