Ownership: an instance ends the membership of its earlier life when it starts

Ruled out: the list of targets (read 40 ms after the start) and the configuration (at once) don't bind; joining by the last owner itself would need a record of who that was.

Change: the first request of an instance to its zone's group is a Leave. It joins after the answer, or the timeout.

--- a/include/eelgrasscleat/Dispatch/ZoneOwnership.h
+++ b/include/eelgrasscleat/Dispatch/ZoneOwnership.h
@@ -103,6 +103,7 @@
 public:
     explicit ZoneOwnership(const OwnershipPolicy &policy);
 
+    /// The first request is a Leave that ends the membership of this instance's earlier life.
     /// @param view current view of the zone
     /// @param isIdle whether no run is active on the targets being handed over
     /// @returns the request to send now. Each Renew must be followed by renewed() or requestFailed(), each Leave by
--- a/lib/Dispatch/ZoneOwnership.cpp
+++ b/lib/Dispatch/ZoneOwnership.cpp
@@ -152,6 +152,10 @@
         m_isolatedSince = now;
         m_enoughOwnersAt = now;
         m_neededAt = now;
+        // A killed process leaves a membership behind, whose shards nobody gets before it expires.
+        m_inFlight = true;
+        m_leaving = true;
+        return MembershipAction::Leave;
     }
     if (view.otherOwners > 0 || !view.isSettled) {
         m_ownerSeenAt = now;
--- a/unittests/Dispatch/ZoneOwnershipFixture.h
+++ b/unittests/Dispatch/ZoneOwnershipFixture.h
@@ -13,6 +13,14 @@
 
 class ZoneOwnershipFixture : public CppUnit::TestFixture
 {
+public:
+    /// Ends the membership of an earlier life, as each instance does first.
+    void setUp() override
+    {
+        CPPUNIT_ASSERT(advance(reachablePeers()) == MembershipAction::Leave);
+        m_ownership.left();
+    }
+
 protected:
     void assertNeverJoins(const ZoneView &view)
     {
--- a/unittests/Dispatch/ZoneOwnershipRankTest.cpp
+++ b/unittests/Dispatch/ZoneOwnershipRankTest.cpp
@@ -72,6 +72,7 @@
     {
         for (const bool isWeak : { false, true }) {
             m_ownership = ZoneOwnership(OwnershipPolicy());
+            setUp();
             becomeOwner(7);
             ZoneView view = reachableOwners(2);
             view.ownedTargets = 88;
