--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -74,6 +74,7 @@
                { "left_ms", milliseconds(job.deadline - job.submitted) },
                { "config", version.value },
                { "dispatcher", dispatcher.value },
+               { "only_in_time", std::uint64_t { job.onlyInTime ? 1U : 0U } },
                { "tasks", tasks },
                { "first_task", std::uint64_t { job.steps.front().firstTask } } });
 }
