--- a/unittests/CrashingTasks/CrashingFleet.h
+++ b/unittests/CrashingTasks/CrashingFleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "../Dispatch/FakeFleet.h"
+#include "../Dispatch/JobEndObserver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -131,7 +132,7 @@
     std::map<JobId, JobEnd> ends;
 
 private:
-    struct Owner : public DispatcherObserver
+    struct Owner : public JobEndObserver
     {
         explicit Owner(CrashingFleet &owning)
             : parent(owning)
@@ -144,27 +145,12 @@
         {
             parent.ends[end.id] = end;
         }
-        void jobTooLate(const JobId &, const LatenessEstimate &) override
-        {
-        }
-        void runDecided(std::string_view, const RunName &, const TargetName &, double) override
-        {
-        }
-        void tokenFenced(FencingToken, const TargetName &) override
-        {
-        }
         void targetCrashed(const TargetCrash &crash) override
         {
             if (!crash.commonCause) {
                 parent.publish(crash);
             }
         }
-        void crashForgotten(const TargetLife &) override
-        {
-        }
-        void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
-        {
-        }
 
         CrashingFleet &parent;
         FakeTargetCommands commands;
--- a/unittests/Dispatch/DividedFleet.h
+++ b/unittests/Dispatch/DividedFleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "FakeFleet.h"
+#include "JobEndObserver.h"
 
 #include <eelgrasscleat/Dispatch/JobRouter.h>
 
@@ -117,7 +118,7 @@
     int messages = 0;
 
 private:
-    struct Owner : DispatcherObserver
+    struct Owner : JobEndObserver
     {
         Owner(DividedFleet &parent, InstanceName ownName)
             : name(std::move(ownName))
@@ -131,24 +132,6 @@
         {
             fleet.send(*this, [this, home, end] { fleet.home(home).router.jobEnded(name, end, fleet.queue.now()); });
         }
-        void jobTooLate(const JobId &, const LatenessEstimate &) override
-        {
-        }
-        void runDecided(std::string_view, const RunName &, const TargetName &, double) override
-        {
-        }
-        void tokenFenced(FencingToken, const TargetName &) override
-        {
-        }
-        void targetCrashed(const TargetCrash &) override
-        {
-        }
-        void crashForgotten(const TargetLife &) override
-        {
-        }
-        void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
-        {
-        }
 
         InstanceName name;
         FakeTargetCommands commands;
--- a/unittests/Dispatch/LateOffersTest.cpp
+++ b/unittests/Dispatch/LateOffersTest.cpp
@@ -2,6 +2,7 @@
 /// Which dispatcher gets a job that none is expected to run in time. Guards against jobs that were late, or refused, at
 /// the dispatcher that happened to be asked last while another would have run them earlier.
 #include "DividedFleet.h"
+#include "JobEndObserver.h"
 #include "JobRouterFixture.h"
 #include "LoadedZone.h"
 
@@ -132,7 +133,7 @@
 
 private:
     /// One owner of four targets, two tasks each.
-    struct SingleOwner : DispatcherObserver
+    struct SingleOwner : JobEndObserver
     {
         SingleOwner()
             : fleet(queue, 1)
@@ -174,24 +175,6 @@
         {
             ends.push_back(end);
         }
-        void jobTooLate(const JobId &, const LatenessEstimate &) override
-        {
-        }
-        void runDecided(std::string_view, const RunName &, const TargetName &, double) override
-        {
-        }
-        void tokenFenced(FencingToken, const TargetName &) override
-        {
-        }
-        void targetCrashed(const TargetCrash &) override
-        {
-        }
-        void crashForgotten(const TargetLife &) override
-        {
-        }
-        void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
-        {
-        }
 
         EventQueue queue;
         FakeFleet fleet;
--- a/unittests/Dispatch/LoadedZone.h
+++ b/unittests/Dispatch/LoadedZone.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "FakeFleet.h"
+#include "JobEndObserver.h"
 
 #include <cmath>
 #include <map>
@@ -36,7 +37,7 @@
 constexpr JobType kLong { 2, 4, std::chrono::milliseconds(900), 2.1 };
 
 /// A simulated availability zone under load.
-class LoadedZone : public DispatcherObserver
+class LoadedZone : public JobEndObserver
 {
 public:
     static inline const InstanceName kHome { "home" };
@@ -99,9 +100,6 @@
             tally.untilRefusal.push_back(queue.now() - job.submitted);
         }
     }
-    void jobTooLate(const JobId &, const LatenessEstimate &) override
-    {
-    }
     void runDecided(std::string_view decision, const RunName &, const TargetName &target, double) override
     {
         ++decisions[std::string(decision)];
@@ -109,18 +107,6 @@
             ++starts[target];
         }
     }
-    void tokenFenced(FencingToken, const TargetName &) override
-    {
-    }
-    void targetCrashed(const TargetCrash &) override
-    {
-    }
-    void crashForgotten(const TargetLife &) override
-    {
-    }
-    void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
-    {
-    }
 
     EventQueue queue;
     FakeFleet fleet;
--- a/unittests/Dispatch/LostCommandsTest.cpp
+++ b/unittests/Dispatch/LostCommandsTest.cpp
@@ -1,5 +1,7 @@
 /// @file
 /// Step-by-step tests of commands whose results are lost, late or out of order.
+#include "JobEndObserver.h"
+
 #include <eelgrasscleat/Dispatch/Dispatcher.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -32,31 +34,13 @@
 };
 
 /// Records the results of jobs.
-class RecordingObserver : public DispatcherObserver
+class RecordingObserver : public JobEndObserver
 {
 public:
     void jobEnded(const InstanceName &, const JobEnd &end) override
     {
         ends.push_back(end);
     }
-    void jobTooLate(const JobId &, const LatenessEstimate &) override
-    {
-    }
-    void runDecided(std::string_view, const RunName &, const TargetName &, double) override
-    {
-    }
-    void tokenFenced(FencingToken, const TargetName &) override
-    {
-    }
-    void targetCrashed(const TargetCrash &) override
-    {
-    }
-    void crashForgotten(const TargetLife &) override
-    {
-    }
-    void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
-    {
-    }
 
     std::vector<JobEnd> ends;
 };
--- a/unittests/Dispatch/OwnerScheduleTest.cpp
+++ b/unittests/Dispatch/OwnerScheduleTest.cpp
@@ -3,6 +3,7 @@
 /// isolated owners, and restarting targets. Checked at every command: no target exceeds its capacity, no task runs
 /// twice at a time, no unregistered task starts. Checked at the end: no job that was only refused has started.
 #include "FakeFleet.h"
+#include "JobEndObserver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -26,7 +27,7 @@
 } // namespace
 
 /// A dispatcher and the home instance's connection to it.
-class Owner : public DispatcherObserver
+class Owner : public JobEndObserver
 {
 public:
     Owner(FakeFleet &fleet, EventQueue &queue)
@@ -42,24 +43,6 @@
             onJobEnded(end);
         }
     }
-    void jobTooLate(const JobId &, const LatenessEstimate &) override
-    {
-    }
-    void runDecided(std::string_view, const RunName &, const TargetName &, double) override
-    {
-    }
-    void tokenFenced(FencingToken, const TargetName &) override
-    {
-    }
-    void targetCrashed(const TargetCrash &) override
-    {
-    }
-    void crashForgotten(const TargetLife &) override
-    {
-    }
-    void targetChanged(std::string_view, const TargetName &, std::uint64_t) override
-    {
-    }
 
     std::function<void(const JobEnd &)> onJobEnded;
     FakeTargetCommands commands;
