Benchmark of capacity: its simulated instance starts at the driver's time

Each submission was refused as NOT_READY, so runTasks() never ended.

Cause: CoreDriver constructed its EntryCore with m_clock.now before m_clock was initialised, since m_clock was declared after m_core. A debugger shows startedAt = us and a clock of 3608 s, so no read of the log was ever due. Ruled out: the configuration's own rules (state, readiness and staleness are as they should be for an instance that has read nothing). Runs that ended found a small value in that memory.

--- a/benchmarks/Capacity/CoreDriver.h
+++ b/benchmarks/Capacity/CoreDriver.h
@@ -63,6 +63,8 @@
     [[nodiscard]] schema::RecordPage page(LogStream stream, std::uint64_t from) const;
 
     DeploymentSize m_size;
+    ClockReading m_clock { Instant(std::chrono::hours(1)),
+                           WallTime(std::chrono::hours(400000)) }; ///< Before m_core, which starts at its time.
     std::unique_ptr<EntryCore> m_core;
     std::map<LogStream, std::vector<std::string>> m_log;
     std::vector<AttemptId> m_open;
@@ -71,7 +73,6 @@
     std::uint64_t m_lastKey = 0;
     std::uint64_t m_heartbeat = 0;
     std::size_t m_starts = 0;
-    ClockReading m_clock { Instant(std::chrono::hours(1)), WallTime(std::chrono::hours(400000)) };
 };
 
 } // namespace Eelgrasscleat
