--- a/utils/lint.py
+++ b/utils/lint.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Runs clang-tidy on files of a build, several at once. A file that was clean is not looked at again until its preprocessed
-text, its compile command, .clang-tidy or clang-tidy itself changes. Usage: utils/lint.py BUILD_DIR FILE..."""
+text, its compile command, .clang-tidy or clang-tidy itself changes, in any checkout of this user (~/.cache/eelgrasscleat/lint, or
+below XDG_CACHE_HOME). Usage: utils/lint.py BUILD_DIR FILE..."""
 
 import concurrent.futures
 import hashlib
@@ -12,6 +13,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+STAMPS = pathlib.Path(os.environ.get("XDG_CACHE_HOME", pathlib.Path.home() / ".cache")) / "eelgrasscleat" / "lint"
 
 
 def preprocessed(entry):
@@ -25,13 +27,19 @@
     return done.stdout if done.returncode == 0 else None
 
 
+def stamp_key(entry, text, common):
+    """Identifies what clang-tidy looks at, regardless of where the checkout is."""
+    root = str(ROOT).encode()  # In the command, and in the text by __FILE__.
+    seen = (entry["command"].encode() + pathlib.Path(entry["file"]).read_bytes() + text).replace(root, b"")
+    return hashlib.sha256(common + seen).hexdigest()
+
+
 def lint(build, entry, common):
     """Returns what clang-tidy says against a file, or an empty text."""
     text = preprocessed(entry)
     stamp = None
     if text is not None:
-        key = hashlib.sha256(common + entry["command"].encode() + pathlib.Path(entry["file"]).read_bytes() + text)
-        stamp = build / "lint" / key.hexdigest()
+        stamp = STAMPS / stamp_key(entry, text, common)
         if stamp.exists():
             return ""
     done = subprocess.run(["clang-tidy", "-p", str(build), "--quiet", entry["file"]], cwd=ROOT, capture_output=True,
@@ -45,7 +53,7 @@
 
 def main():
     build = pathlib.Path(sys.argv[1]).resolve()
-    (build / "lint").mkdir(exist_ok=True)
+    STAMPS.mkdir(parents=True, exist_ok=True)
     entries = {it["file"]: it for it in json.loads((build / "compile_commands.json").read_text())}
     files = [str(ROOT / it) for it in sys.argv[2:]]
     missing = [it for it in files if it not in entries]
--- a/utils/run-tests.sh
+++ b/utils/run-tests.sh
@@ -8,6 +8,8 @@
 sanitizers=${2:-}
 launcher=()
 if command -v ccache > /dev/null; then
+    # Objects of another checkout of the same sources are used, too; only their debug information names that one.
+    export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
     launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
 fi
 cmake -S . -B "$build" -G Ninja -DEELGRASSCLEAT_SANITIZE="$sanitizers" "${launcher[@]}" > /dev/null
