Dispatch: speeds of targets learned by kind and from whole steps, sizes by a line through callers' estimates, a fixed reference

Runs tell only the product of a size and a slowness, and nothing held the reference, so sizes, and with them objectives, shrank to a third: jobs that could be in time were refused at arrival or sent on to other owners (4 to 5 asks a job).

Change: a target's slowness is that of its kind (labels, capacity) and its own deviation; changes are found by cumulative sums instead of a gain that stays high. All tasks of a step are compared with each other once the step has ended. A route's sizes follow a line through callers' estimates with a learned slope (1 before, or none). The reference is the target on which tasks run as long as callers estimate.

FakeFleet's targets have labels as the platform's do. DividedFleet takes the fleet and its load as a parameter, with the same random draws.

--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -133,6 +133,13 @@
     m_observer.jobEnded(home, end);
 }
 
+/// @returns the time that lost messages add to a run: the start command and the inspection that would have reported the
+/// end may have to be repeated.
+Duration Dispatcher::Impl::lossDelay(Instant now) const
+{
+    return now < m_lossyUntil ? 2 * m_pacer.retryDelay() + m_policy.inspectWaitUnderLoss : Duration::zero();
+}
+
 /// Places ready tasks in scheduling order as far as capacity allows.
 void Dispatcher::Impl::placeWaiting(Instant now)
 {
@@ -145,7 +152,7 @@
     if (jobs.empty()) {
         return;
     }
-    m_selector.beginPass(now);
+    m_selector.beginPass(lossDelay(now), now);
     for (ActiveJob *job : jobs) {
         const auto recent = m_recentJobs.find(job->request.id);
         if (recent != m_recentJobs.end() && recent->second.stoppingRuns > 0) {
@@ -191,6 +198,28 @@
     return true;
 }
 
+/// Keeps the reference target: the one on which tasks run as long as callers estimate on average, or without estimates
+/// the mean target. Runs tell only the product of a size and a slowness; without a fixed reference both would drift
+/// apart, and with the sizes the objectives derived from them.
+void Dispatcher::Impl::alignSpeeds()
+{
+    std::vector<TargetSpeed *> speeds;
+    speeds.reserve(m_targets.size());
+    for (const auto &it : m_targets) {
+        speeds.push_back(&it.second->tracker.speed);
+    }
+    SpeedTable::moveCommonDeviation(speeds);
+    const auto bias = m_jobTable.estimateBias();
+    const double logSlowness = bias ? -*bias : SpeedTable::meanLogSlowness(speeds);
+    m_speeds.changeReference(logSlowness);
+    m_jobTable.changeReference(logSlowness);
+    for (const auto &target : m_targets) {
+        for (auto &run : target.second->tracker.runs()) {
+            run.second.expectedLogRun += logSlowness;
+        }
+    }
+}
+
 void Dispatcher::Impl::advance(Instant now)
 {
     std::vector<InstanceName> silent;
@@ -202,6 +231,7 @@
     for (const InstanceName &it : silent) {
         homeLost(it, now);
     }
+    alignSpeeds();
     expireJobs(now);
     if (m_draining) {
         refuseUndrainable(now);
--- a/lib/Dispatch/DispatcherAdmission.cpp
+++ b/lib/Dispatch/DispatcherAdmission.cpp
@@ -42,8 +42,8 @@
     double milliCores = 0;
     for (const auto &it : m_targets) {
         if (m_selector.isUsable(*it.second, now)) {
-            milliCores +=
-                it.second->tracker.target().capacity.milliCores / std::exp(it.second->tracker.speed.logSlowness());
+            const TargetTracker &tracker = it.second->tracker;
+            milliCores += tracker.target().capacity.milliCores / tracker.speed.slowness();
         }
     }
     m_rateAt = now;
@@ -129,8 +129,7 @@
         for (const auto &run : tracker.runs()) {
             releases.push_back({ tracker.expectedEnd(run.second, now), run.second.demand.milliCores });
         }
-        forecast.addTarget(
-            tracker.freeCapacity().milliCores, std::exp(tracker.speed.logSlowness()), std::move(releases));
+        forecast.addTarget(tracker.freeCapacity().milliCores, tracker.speed.slowness(), std::move(releases));
     }
     return forecast;
 }
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -64,6 +64,7 @@
     [[nodiscard]] DispatcherLoad load(Instant now) const;
 
     OwnedTargets m_targets;
+    SpeedTable m_speeds;
     JobTable m_jobTable;
     Instant m_lastNow {};
     bool m_draining = false;
@@ -101,7 +102,9 @@
     bool admit(ActiveJob &job, Instant now);
     void refuseTooLate(ActiveJob &job, Duration wait, Instant now);
     [[nodiscard]] double serviceRate(Instant now) const;
+    [[nodiscard]] Duration lossDelay(Instant now) const;
     void placeWaiting(Instant now);
+    void alignSpeeds();
     bool placeTasks(ActiveJob &job, std::uint32_t &waitingTasks, Instant now);
     void expireJobs(Instant now);
     void refuseUndrainable(Instant now);
@@ -117,6 +120,8 @@
     void stopRun(OwnedTarget &target, const RunName &name, TrackedRun &run, Instant now);
     void runTerminated(OwnedTarget &target, const RunName &name, const TrackedRun &run, bool hadNoEffect, Instant now);
     void runEnded(OwnedTarget &target, const ReportChanges::End &end, Instant now);
+    void recordRunTime(const TargetName &target, ActiveJob &job, const ReportChanges::End &end, Instant now);
+    void learnFromStep(const RouteName &route, Duration estimate, const std::vector<EndedRun> &ended);
     void runDone(OwnedTarget &target, ActiveJob &job, const ReportChanges::End &end, Instant now);
     void runFailed(ActiveJob &job, const TaskName &task, Instant now);
     void requeue(const TargetName &target, const RunName &name, const TrackedRun &run);
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -56,18 +56,16 @@
     run.isolated = isolated;
     run.dispatchedAt = now;
     run.callerEstimate = step.estimate;
-    SizeModel &sizes = m_jobTable.sizes(job.request.route);
-    run.expectedLogRun = sizes.expectedLogRun(step.estimate);
-    run.sizeVariance = sizes.noiseVariance(step.estimate);
+    run.expectedLogRun = m_jobTable.sizes(job.request.route).expectedLogRun(step.estimate);
     const RunName name { task, entry.run };
     TrackedRun &added = target.tracker.addRun(name, run);
     m_jobTable.setState(job, task, TaskState::Dispatched);
-    m_jobTable.recordStart(job, step, std::exp(target.tracker.speed.logSlowness()), now);
+    m_jobTable.recordStart(job, step, target.tracker.speed.slowness(), now);
     ++job.possibleRuns;
     if (m_health.state(target.healthIndex) == HealthState::Ejected) {
         m_health.recordProbeStart(target.healthIndex);
     }
-    m_observer.runDecided("start", name, target.tracker.target().name, std::exp(target.tracker.speed.logSlowness()));
+    m_observer.runDecided("start", name, target.tracker.target().name, target.tracker.speed.slowness());
     sendStart(target, job, name, added, now);
     if (target.tracker.inspections.empty()) {
         inspect(target, now);
@@ -361,14 +359,47 @@
     }
 }
 
+/// Records the time that a run took, and learns from all of its step when it was the last one.
+void Dispatcher::Impl::recordRunTime(const TargetName &target,
+                                     ActiveJob &job,
+                                     const ReportChanges::End &end,
+                                     Instant now)
+{
+    if (end.record.startedAt == Instant {}) {
+        return; // The start command may have been carried out late.
+    }
+    const auto micros = static_cast<double>((now - end.record.startedAt).count());
+    const std::uint32_t step = end.run.task.step;
+    std::vector<EndedRun> &ended = job.endedRuns[step];
+    ended.push_back({ target, std::log(std::max(1.0, micros)) });
+    if (ended.size() == job.steps[step].size()) {
+        learnFromStep(job.request.route, end.record.callerEstimate, ended);
+    }
+}
+
+void Dispatcher::Impl::learnFromStep(const RouteName &route, Duration estimate, const std::vector<EndedRun> &ended)
+{
+    SizeModel &sizes = m_jobTable.sizes(route);
+    const double expected = sizes.expectedLogRun(estimate);
+    std::vector<MeasuredRun> runs;
+    for (const EndedRun &it : ended) {
+        if (OwnedTarget *target = find(it.target)) {
+            runs.push_back({ &target->tracker.speed, it.logRun - expected });
+        }
+    }
+    if (runs.empty()) {
+        return; // All its targets were released.
+    }
+    const StepSize size = SpeedTable::learn(runs, sizes.noiseVariance(estimate), sizes.taskVariance());
+    sizes.addSample(estimate, expected + size.error);
+    if (runs.size() > 1) {
+        sizes.addTaskVariance(size.taskVariance);
+    }
+}
+
 void Dispatcher::Impl::runDone(OwnedTarget &target, ActiveJob &job, const ReportChanges::End &end, Instant now)
 {
-    const Instant runStart = end.record.startedAt == Instant {} ? end.record.dispatchedAt : end.record.startedAt;
-    const double micros = std::max<double>(1, static_cast<double>((now - runStart).count()));
-    const double logRun = std::log(micros);
-    target.tracker.speed.addSample(logRun - end.record.expectedLogRun, end.record.sizeVariance);
-    m_jobTable.sizes(job.request.route)
-        .addSample(end.record.callerEstimate, logRun - target.tracker.speed.logSlowness());
+    recordRunTime(target.tracker.target().name, job, end, now);
     m_jobTable.setState(job, end.run.task, TaskState::Done);
     RecentJob &recent = m_recentJobs[job.request.id];
     recent.lastRunNumber = std::max(recent.lastRunNumber, end.run.run);
--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -31,6 +31,7 @@
     if (OwnedTarget *owned = find(target.name)) {
         const bool wasDraining = owned->tracker.target().draining;
         owned->tracker.update(target);
+        owned->tracker.speed.setKind(m_speeds.kindOf(target));
         if (target.draining != wasDraining) {
             m_observer.targetChanged(target.draining ? "draining" : "ready", target.name, target.incarnation);
         }
@@ -44,7 +45,7 @@
         index = m_freeIndexes.back();
         m_freeIndexes.pop_back();
     }
-    m_targets.emplace(target.name, std::make_unique<OwnedTarget>(target, token, index));
+    m_targets.emplace(target.name, std::make_unique<OwnedTarget>(target, token, m_speeds.kindOf(target), index));
     TargetInfo info;
     info.name = target.name;
     info.service = target.service;
@@ -198,7 +199,7 @@
 /// progress is left alone: it would take as long on another target.
 void Dispatcher::Impl::checkProgress(OwnedTarget &target, Instant now)
 {
-    const double slowness = std::exp(target.tracker.speed.logSlowness());
+    const double slowness = target.tracker.speed.slowness();
     for (auto &it : target.tracker.runs()) {
         TrackedRun &run = it.second;
         if (run.state != RunState::Running) {
--- a/lib/Dispatch/JobTable.cpp
+++ b/lib/Dispatch/JobTable.cpp
@@ -31,6 +31,25 @@
     return Duration(static_cast<Duration::rep>(std::exp(logRun)));
 }
 
+std::optional<double> JobTable::estimateBias() const
+{
+    double sum = 0;
+    double weight = 0;
+    for (const auto &it : m_sizes) {
+        const WeightedMean bias = it.second.hintBias();
+        sum += bias.mean * bias.weight;
+        weight += bias.weight;
+    }
+    return weight > 0 ? std::optional<double>(sum / weight) : std::nullopt;
+}
+
+void JobTable::changeReference(double logSlowness)
+{
+    for (auto &it : m_sizes) {
+        it.second.changeReference(logSlowness);
+    }
+}
+
 double JobTable::decayed(const ArrivalRate &rate, Instant now)
 {
     const auto age = static_cast<double>((now - rate.at).count()) / static_cast<double>(kArrivalAveragingTime.count());
@@ -105,6 +124,7 @@
     job->usefulUntil = std::min(request.deadline, request.submitted + useful);
     for (const JobStep &it : request.steps) {
         job->steps.emplace_back(it.tasks);
+        job->endedRuns.emplace_back();
         job->remainingTasks += it.tasks;
     }
     job->request = std::move(request);
--- a/lib/Dispatch/JobTable.h
+++ b/lib/Dispatch/JobTable.h
@@ -39,6 +39,13 @@
     TargetName lastTarget; ///< Target of the latest unsuccessful run; avoided if others have capacity.
 };
 
+/// A run that ended successfully.
+struct EndedRun
+{
+    TargetName target;
+    double logRun; ///< Logarithm of the run time in microseconds.
+};
+
 /// A job that has not ended.
 struct ActiveJob
 {
@@ -46,6 +53,7 @@
     JobOrigin origin;
     JobRequest request;
     std::vector<std::vector<TaskEntry>> steps;
+    std::vector<std::vector<EndedRun>> endedRuns; ///< By step, those with a known run time.
     std::uint32_t remainingTasks = 0; ///< Tasks that are not done.
     std::uint32_t readyTasks = 0;
     std::uint32_t possibleRuns = 0; ///< Start commands that may have had an effect.
@@ -130,6 +138,11 @@
     [[nodiscard]] SizeModel &sizes(const RouteName &route);
     /// @returns the expected run time of a step's tasks on the reference target.
     [[nodiscard]] Duration expectedRun(const RouteName &route, const JobStep &step);
+    /// @returns the mean logarithm of the ratio of run times to callers' estimates, over all routes that have any.
+    [[nodiscard]] std::optional<double> estimateBias() const;
+    /// Expresses all expected run times for another reference target.
+    /// @param logSlowness logarithm of its slowness, relative to the present one
+    void changeReference(double logSlowness);
 
 private:
     /// Exponentially decaying arrival rate of the work of a priority.
--- a/lib/Dispatch/TargetSelector.cpp
+++ b/lib/Dispatch/TargetSelector.cpp
@@ -84,10 +84,11 @@
 
 /// @param run expected run time on the reference target
 /// @param slowness run time on the target, relative to the reference target
-static Timeliness timeliness(const ActiveJob &job, Duration run, double slowness, Instant now)
+/// @param overhead time that commands and reports add to the run
+static Timeliness timeliness(const ActiveJob &job, Duration run, double slowness, Duration overhead, Instant now)
 {
     const auto time = std::chrono::duration_cast<Duration>(run * slowness);
-    const Instant end = now + time + kCommandOverhead;
+    const Instant end = now + time + overhead;
     if (end + std::chrono::duration_cast<Duration>(time * (kRunTimeFactor - 1)) <= job.objectiveAt) {
         return Timeliness::InTime;
     }
@@ -126,14 +127,15 @@
     }
 }
 
-void TargetSelector::beginPass(Instant now)
+void TargetSelector::beginPass(Duration lossDelay, Instant now)
 {
+    m_commandOverhead = kCommandOverhead + lossDelay;
     m_candidates.clear();
     for (const auto &it : m_targets) {
         if (isUsable(*it.second, now)) {
             Candidate &added = m_candidates.emplace_back();
             added.target = it.second.get();
-            added.slowness = std::exp(it.second->tracker.speed.logSlowness());
+            added.slowness = it.second->tracker.speed.slowness();
             read(added, now);
         }
     }
@@ -175,7 +177,7 @@
         }
         const auto time = std::chrono::duration_cast<Duration>(run * it.slowness);
         const auto saved = std::chrono::duration_cast<Duration>(run * (slowness - it.slowness) * kMaxWaitShare);
-        starts += countEnds(it.runEnds, std::min(job.objectiveAt - time - kCommandOverhead, now + saved));
+        starts += countEnds(it.runEnds, std::min(job.objectiveAt - time - m_commandOverhead, now + saved));
     }
     return starts;
 }
@@ -198,7 +200,7 @@
         if (!isSuitable(tracker.target(), job.request.service, step)) {
             continue;
         }
-        const Timeliness onTarget = timeliness(job, run, it.slowness, now);
+        const Timeliness onTarget = timeliness(job, run, it.slowness, m_commandOverhead, now);
         if (it.hasIsolatedRun || !step.demand.fitsIn(it.available)
             || (step.perTargetLimit > 0 && runsOfStep(tracker, task) >= step.perTargetLimit)) {
             continue;
--- a/lib/Dispatch/TargetSelector.h
+++ b/lib/Dispatch/TargetSelector.h
@@ -18,8 +18,8 @@
 /// An owned target and its tracked state.
 struct OwnedTarget
 {
-    OwnedTarget(DispatchTarget target, FencingToken token, TargetIndex index)
-        : tracker(std::move(target), token)
+    OwnedTarget(DispatchTarget target, FencingToken token, std::shared_ptr<KindSpeed> kind, TargetIndex index)
+        : tracker(std::move(target), token, std::move(kind))
         , healthIndex(index)
     {
     }
@@ -41,7 +41,8 @@
     }
 
     /// Starts a placement pass: reads the state of all targets. select() works on this state.
-    void beginPass(Instant now);
+    /// @param lossDelay time that lost messages are expected to add to a run
+    void beginPass(Duration lossDelay, Instant now);
     /// A run was started during the pass on a target that select() returned.
     void runStarted(const OwnedTarget &target, Instant now);
 
@@ -79,6 +80,7 @@
 
     OwnedTargets &m_targets;
     HealthTracker &m_health;
+    Duration m_commandOverhead {}; ///< Time that commands and reports add to a run.
     std::vector<Candidate> m_candidates;
 };
 
--- a/lib/Dispatch/TargetTracker.cpp
+++ b/lib/Dispatch/TargetTracker.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-/// Variance of the drift of a target's slowness. The estimate adapts to a target that becomes several times slower
-/// within about five tasks.
-constexpr double kSpeedDriftVariance = 0.01;
 /// Maximum relative rate error of a target's clock, given in the platform's description of its clocks.
 constexpr double kClockRateError = 0.02;
 /// A run's own progress tells its end better than its expected run time from this percentage on.
@@ -29,8 +26,8 @@
 
 } // namespace
 
-TargetTracker::TargetTracker(DispatchTarget target, FencingToken token)
-    : speed(kSpeedDriftVariance)
+TargetTracker::TargetTracker(DispatchTarget target, FencingToken token, std::shared_ptr<KindSpeed> kind)
+    : speed(std::move(kind))
     , m_target(std::move(target))
     , m_token(token)
     , m_incarnation(m_target.incarnation)
--- a/lib/Dispatch/TargetTracker.h
+++ b/lib/Dispatch/TargetTracker.h
@@ -4,7 +4,8 @@
 #pragma once
 
 #include <eelgrasscleat/Dispatch/TargetCommands.h>
-#include <eelgrasscleat/Placement/SpeedModel.h>
+
+#include "TargetSpeed.h"
 
 #include <map>
 #include <optional>
@@ -43,7 +44,6 @@
     std::uint32_t stopsInFlight = 0;
     std::uint32_t stopsSent = 0;
     double expectedLogRun = 0; ///< Expected logarithm of the run time in microseconds on the reference target.
-    double sizeVariance = 0;
     Duration callerEstimate {};
     double progress = 0; ///< In percent.
     Instant progressedAt {}; ///< When the progress last increased.
@@ -78,7 +78,7 @@
 class TargetTracker
 {
 public:
-    explicit TargetTracker(DispatchTarget target, FencingToken token);
+    TargetTracker(DispatchTarget target, FencingToken token, std::shared_ptr<KindSpeed> kind);
 
     /// Applies a newer description. If the target has restarted, it must be inspected before any further start.
     void update(const DispatchTarget &target);
@@ -172,7 +172,7 @@
     Instant connectionClosedAt {}; ///< When a command last found its connection closed or refused.
     std::uint64_t acknowledged = 0; ///< Highest end number acknowledged by an answered inspection.
     Instant pausedUntil {}; ///< No run is started on the target before this time.
-    SpeedEstimate speed;
+    TargetSpeed speed;
 
 private:
     void restart(Instant sentAt, ReportChanges &changes);
--- a/unittests/Dispatch/DividedFleet.h
+++ b/unittests/Dispatch/DividedFleet.h
@@ -34,9 +34,6 @@
     { 1, 2, std::chrono::milliseconds(200), 0.711, 0.00167 },
     { 2, 4, std::chrono::milliseconds(900), 0.045, 0.0267 },
 };
-constexpr std::uint32_t kMeanMilliCores = 32000;
-constexpr std::size_t kTargets = 117;
-constexpr double kFleetTargets = 350; ///< Targets of the fleet to which the arrival rates refer.
 constexpr double kLateWorth = 0.2;
 constexpr Duration kMessageTime = std::chrono::microseconds(700);
 constexpr Duration kStatusInterval = std::chrono::milliseconds(80);
@@ -48,6 +45,24 @@
     Shuffled, ///< As by the hash of their names.
 };
 
+/// The targets, and the load on them.
+struct FleetLoad
+{
+    std::size_t targets = 117;
+    double fleetTargets = 350; ///< Targets of the fleet to which the arrival rates refer.
+    FleetShape shape { { 0.6, 1.0, 1.6 }, { 64000, 64000, 96000 } };
+    double meanMilliCores = 32000;
+    double maxMilliCores = 48000;
+    double burst = 1; ///< Factor of the arrival rate from the third second to the sixth.
+};
+
+/// Jobs of one kind and what their callers got.
+struct KindTally
+{
+    int submitted = 0;
+    int inTime = 0;
+};
+
 /// Owners, homes, and the messages between them.
 class DividedFleet
 {
@@ -56,10 +71,12 @@
                  std::size_t owners,
                  std::size_t homes,
                  std::size_t maxParts,
-                 TargetDeal deal = TargetDeal::ByTurns)
-        : fleet(queue, seed)
+                 TargetDeal deal = TargetDeal::ByTurns,
+                 FleetLoad fleetLoad = {})
+        : load(std::move(fleetLoad))
+        , fleet(queue, seed)
     {
-        fleet.addTargets(kTargets, { { 0.6, 1.0, 1.6 }, { 64000, 64000, 96000 } });
+        fleet.addTargets(load.targets, load.shape);
         JobRouterPolicy policy;
         policy.division.maxParts = maxParts;
         for (std::size_t i = 0; i < owners; ++i) {
@@ -83,8 +100,11 @@
 
     void play(double jobsPerSecond, std::chrono::seconds length)
     {
-        std::exponential_distribution<double> gap(jobsPerSecond * kTargets / kFleetTargets);
-        for (double at = gap(fleet.random); at < static_cast<double>(length.count()); at += gap(fleet.random)) {
+        std::exponential_distribution<double> gap(jobsPerSecond * static_cast<double>(load.targets)
+                                                  / load.fleetTargets);
+        const auto factor = [this](double at) { return at >= 2 && at < 6 ? load.burst : 1; };
+        const auto end = static_cast<double>(length.count());
+        for (double at = gap(fleet.random); at < end; at += gap(fleet.random) / factor(at)) {
             queue.after(Duration(static_cast<Duration::rep>(at * 1e6)), [this] { submit(); });
         }
         queue.runUntil(queue.now() + length + std::chrono::seconds(5));
@@ -106,8 +126,10 @@
         });
     }
 
+    FleetLoad load;
     EventQueue queue;
     FakeFleet fleet;
+    std::map<std::uint32_t, KindTally> tallies; ///< By priority.
     double owed = 0;
     double earned = 0;
     int submitted = 0;
@@ -178,6 +200,7 @@
     {
         double worth;
         Instant objective;
+        std::uint32_t priority;
     };
 
     void send(const Owner &owner, std::function<void()> message)
@@ -243,7 +266,8 @@
         request.deadline = queue.now() + std::chrono::milliseconds(3500);
         JobStep step;
         step.tasks = std::max(1U, static_cast<std::uint32_t>(std::lround(kind->meanTasks * spread(fleet.random))));
-        step.demand = { static_cast<std::uint32_t>(kMeanMilliCores * std::clamp(size(fleet.random), 0.5, 1.5)), 64, 0 };
+        const double milliCores = load.meanMilliCores * std::clamp(size(fleet.random), 0.5, 1.5);
+        step.demand = { static_cast<std::uint32_t>(std::min(milliCores, load.maxMilliCores)), 64, 0 };
         const auto work = std::chrono::duration_cast<Duration>(kind->work * spread(fleet.random));
         step.estimate = std::chrono::duration_cast<Duration>(work * spread(fleet.random));
         request.steps.push_back(step);
@@ -251,7 +275,8 @@
             fleet.registerTask({ request.id, 0, i }, step.demand, work);
         }
         const Duration allowed = std::chrono::duration_cast<Duration>(work * request.stretch) + request.latencyTarget;
-        m_pending[caller] = { kind->worth, queue.now() + allowed };
+        m_pending[caller] = { kind->worth, queue.now() + allowed, kind->priority };
+        ++tallies[kind->priority].submitted;
         owed += kind->worth;
         m_homes[drawBelow(fleet.random, m_homes.size())]->router.submit(CallerId(caller), std::move(request));
     }
@@ -262,7 +287,9 @@
         ++answered;
         if (end.outcome == JobOutcome::Complete) {
             ++complete;
-            earned += job.worth * (queue.now() <= job.objective ? 1 : kLateWorth);
+            const bool isInTime = queue.now() <= job.objective;
+            tallies[job.priority].inTime += isInTime ? 1 : 0;
+            earned += job.worth * (isInTime ? 1 : kLateWorth);
         }
         abandoned += end.outcome == JobOutcome::Abandoned ? 1 : 0;
         falseRefusals += end.outcome == JobOutcome::Refused && fleet.hasStarted(end.id) ? 1 : 0;
--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -200,6 +200,7 @@
         target.zone = ZoneName("zone");
         target.address = "10.0.0." + std::to_string(i) + ":80";
         target.rack = "rack-" + std::to_string(i / shape.targetsPerRack);
+        target.labels = { "kind-" + std::to_string(i % shape.slowness.size()), target.rack };
         target.capacity = { shape.milliCores[i % shape.milliCores.size()], 65536, 0 };
         target.incarnation = 1;
         const double clockRate = 1 - 0.02 * static_cast<double>(i % 2);
