Log: age of an owner's target list, changed capacities, and leases renewed beside runs that are being stopped

'renewed_beside_stop' tells of each renewal of a target with runs that are being stopped for a job that is no longer known.

--- a/include/eelgrasscleat/Node/Ports.h
+++ b/include/eelgrasscleat/Node/Ports.h
@@ -123,6 +123,8 @@
     virtual void targetRemoved(const TargetName &target) = 0;
     /// The complete list of the zone's targets was read.
     virtual void targetListReceived(const std::vector<DispatchTarget> &targets) = 0;
+    /// All entries that the list of targets has were reported.
+    virtual void targetListConfirmed() = 0;
     /// An owner has published a crash.
     virtual void crashPublished(const TargetCrash &crash) = 0;
     virtual void crashWithdrawn(const TargetLife &target) = 0;
--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -30,11 +30,15 @@
 {
     if (OwnedTarget *owned = find(target.name)) {
         const bool wasDraining = owned->tracker.target().draining;
+        const ResourceDemand capacity = owned->tracker.target().capacity;
         owned->tracker.update(target);
         owned->tracker.speed.setKind(m_speeds.kindOf(target));
         if (target.draining != wasDraining) {
             m_observer.targetChanged(target.draining ? "draining" : "ready", target.name, target.incarnation);
         }
+        if (target.capacity != capacity) {
+            m_observer.targetChanged("capacity", target.name, target.capacity.milliCores);
+        }
         owned->tracker.updateToken(token);
         return;
     }
@@ -130,6 +134,12 @@
     if (isAnswering && !tracker.runs().empty() && tracker.hasClock() && tracker.inspected) {
         command.renew = true;
         command.leaseEnd = tracker.extendLease(m_policy.leaseLength, oldestHomeContact(target, now), now);
+        for (const auto &it : tracker.runs()) {
+            if (it.second.state == RunState::Stopping && m_jobTable.find(it.second.job) == nullptr) {
+                const double ms = std::chrono::duration<double, std::milli>(now - it.second.dispatchedAt).count();
+                m_observer.runDecided("renewed_beside_stop", it.first, tracker.target().name, ms);
+            }
+        }
         const bool stopping = std::any_of(tracker.runs().begin(), tracker.runs().end(), [](const auto &it) {
             return it.second.state == RunState::Stopping;
         });
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Start and shutdown, periodic work, events of the store, and ownership of targets.
+/// Start and shutdown, periodic work, configuration and instances, and ownership of targets.
 #include "NodeImpl.h"
 
 #include <algorithm>
@@ -61,6 +61,7 @@
     }
     m_now = suspendAwareNow();
     m_startedAt = m_now;
+    m_targetsConfirmedAt = m_now;
     m_store->registerInstance(m_settings.self);
     m_store->start();
     m_advanceTimer.start();
@@ -114,6 +115,7 @@
     }
     m_dispatcher.advance(m_now);
     advanceOwnership();
+    checkTargetList();
     LocalStatus status;
     status.owner = !m_ownedShards.empty();
     status.candidate = m_configuration.isKnown() && m_ownership.isCandidate(m_now);
@@ -166,6 +168,7 @@
     m_store->watchTargets(wantsTargets);
     if (!wantsTargets) {
         m_targets.clear();
+        m_targetsConfirmedAt = m_now;
     }
     if (action == MembershipAction::None) {
         return;
@@ -196,19 +199,6 @@
         });
 }
 
-/// @returns the number of listed targets in this instance's zone; 0 while it doesn't follow the list.
-std::size_t DispatchNode::Impl::zoneTargets() const
-{
-    const auto &targets = m_targets.targets();
-    return static_cast<std::size_t>(std::count_if(
-        targets.begin(), targets.end(), [this](const auto &it) { return it.second.zone == m_settings.self.zone; }));
-}
-
-ShardNumber DispatchNode::Impl::shardOfTarget(const TargetName &target) const
-{
-    return shardOf(target, m_settings.shards);
-}
-
 /// @returns whether targets that are being handed over have no active runs.
 bool DispatchNode::Impl::areHandoverTargetsIdle() const
 {
@@ -241,21 +231,6 @@
     }
 }
 
-void DispatchNode::Impl::assignTargetIfOwned(const DispatchTarget &target)
-{
-    const auto it = m_ownedShards.find(shardOfTarget(target.name));
-    if (it != m_ownedShards.end() && target.zone == m_settings.self.zone) {
-        m_dispatcher.targetOwned(target, it->second, m_now);
-    }
-}
-
-void DispatchNode::Impl::assignOwnedTargets()
-{
-    for (const auto &it : m_targets.targets()) {
-        assignTargetIfOwned(it.second);
-    }
-}
-
 void DispatchNode::Impl::configurationReceived(FleetConfiguration configuration)
 {
     beginEvent();
@@ -341,50 +316,6 @@
     return m_configuration.current();
 }
 
-void DispatchNode::Impl::targetUpdated(const DispatchTarget &target)
-{
-    beginEvent();
-    if (!m_targets.set(target)) {
-        return;
-    }
-    m_dispatcher.targetListed(target, m_now);
-    assignTargetIfOwned(target);
-    runDeferredCalls();
-}
-
-void DispatchNode::Impl::targetRemoved(const TargetName &target)
-{
-    beginEvent();
-    m_targets.entryRemoved(target, m_now);
-}
-
-void DispatchNode::Impl::targetListReceived(const std::vector<DispatchTarget> &targets)
-{
-    beginEvent();
-    m_targets.replace(targets, m_now);
-    for (const DispatchTarget &it : targets) {
-        m_dispatcher.targetListed(it, m_now);
-    }
-    m_log.recordEvent("targets listed", { { "targets", std::uint64_t { targets.size() } } });
-    assignOwnedTargets();
-    runDeferredCalls();
-}
-
-void DispatchNode::Impl::crashPublished(const TargetCrash &crash)
-{
-    beginEvent();
-    if (m_dispatcher.crashLearned(crash, m_now)) {
-        m_log.targetChanged("crash_learned", crash.target.name, crash.suspects.size(), m_now);
-    }
-    runDeferredCalls();
-}
-
-void DispatchNode::Impl::crashWithdrawn(const TargetLife &target)
-{
-    beginEvent();
-    m_dispatcher.crashWithdrawn(target);
-}
-
 void DispatchNode::Impl::instanceUpdated(const InstanceRegistration &instance)
 {
     beginEvent();
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -43,6 +43,7 @@
     void targetUpdated(const DispatchTarget &target) override;
     void targetRemoved(const TargetName &target) override;
     void targetListReceived(const std::vector<DispatchTarget> &targets) override;
+    void targetListConfirmed() override;
     void crashPublished(const TargetCrash &crash) override;
     void crashWithdrawn(const TargetLife &target) override;
     void instanceUpdated(const InstanceRegistration &instance) override;
@@ -116,6 +117,7 @@
     void applyEvacuations(const std::set<ZoneName> &before, const std::string &source);
     void advanceOwnership();
     void applyOwnership();
+    void checkTargetList();
     void assignTargetIfOwned(const DispatchTarget &target);
     void assignOwnedTargets();
     [[nodiscard]] bool areHandoverTargetsIdle() const;
@@ -131,6 +133,8 @@
     ConfigurationView m_configuration;
     EvacuationView m_evacuations;
     TargetList m_targets;
+    Instant m_targetsConfirmedAt {}; ///< When the list of targets was last read in full, or its watch began.
+    bool m_isTargetListStale = false;
     PeerLink m_peerLink;
     QTimer m_advanceTimer;
     CallerFrontend *m_callers = nullptr;
--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -257,6 +257,10 @@
     {
         m_listed = targets;
     }
+    void targetListConfirmed() override
+    {
+        ++m_confirmed;
+    }
     void crashPublished(const TargetCrash &crash) override
     {
         m_crashes.push_back(crash);
@@ -313,6 +317,7 @@
     std::vector<TargetCrash> m_crashes;
     std::vector<TargetLife> m_withdrawn;
     int m_rejected = 0;
+    int m_confirmed = 0;
     int m_instances = 0;
     int m_lost = 0;
     int m_regained = 0;
