Node: an owner that the store turns away learns its targets' capacities and departures from a peer

Cause: an owner learns of its targets from its own reads of the store only, and nothing bounds the age of what it knows. Peers in other zones read the same list meanwhile.

Ruled out: an entry that was read and not applied (the change is logged at the read), several starts of one pass (starts go over the capacity for the whole outage).

Change: an owner whose list was not read in full for 2 s asks a peer to read it, again each second, and another peer at once where one can't read it either (TargetListRefresh). A list has the store's position as its version, and records up to it are ignored, so that a relayed list and the owner's own reads can arrive in any order. Peers that are turned away themselves refuse without a call to the store. With the target's announcement interval this is 3.6 s at most, below the 4.5 s that the platform allows.

Related paths with the same cause: a target that is leaving was given new tasks by such an owner until the store served it again; crashed targets' new lives at another address were not known. Both come with the list.

--- a/include/eelgrasscleat/Dispatch/FleetView.h
+++ b/include/eelgrasscleat/Dispatch/FleetView.h
@@ -61,8 +61,18 @@
     std::map<std::string, std::vector<std::size_t>, std::less<>> m_byHost; ///< Route indexes, longest prefix first.
 };
 
+/// All targets of one zone.
+struct TargetListing
+{
+    /// Position in the platform's records up to which the entries are known; some may be newer.
+    std::uint64_t version = 0;
+    std::vector<DispatchTarget> targets;
+    bool operator==(const TargetListing &) const = default;
+};
+
 /// The platform's target list. Removed entries are kept for a grace period, since they expire while the platform is
-/// unavailable and come back afterwards.
+/// unavailable and come back afterwards. Entries come from the platform and from peers, also repeatedly and late: the
+/// version only ever increases.
 class TargetList
 {
 public:
@@ -72,12 +82,15 @@
     {
     }
 
-    /// Adds or updates an entry. @returns whether it changed.
-    bool set(const DispatchTarget &target);
+    /// Adds or updates an entry.
+    /// @param version position after the record; earlier records are known already
+    /// @returns whether the entry changed.
+    bool set(const DispatchTarget &target, std::uint64_t version);
     /// The platform no longer lists the entry; starts its grace period.
-    void entryRemoved(const TargetName &name, Instant now);
-    /// Applies a complete read of the platform's list: entries that are not in @p targets were removed.
-    void replace(const std::vector<DispatchTarget> &targets, Instant now);
+    void entryRemoved(const TargetName &name, std::uint64_t version, Instant now);
+    /// Applies a complete read of the list: entries that are not in @p listing were removed.
+    /// @returns false if the list is known as of a later version.
+    bool replace(const TargetListing &listing, Instant now);
     /// Drops entries whose grace period has ended. @returns the dropped entries.
     std::vector<TargetName> advance(Instant now);
     void clear();
@@ -88,7 +101,10 @@
     }
 
 private:
+    bool setEntry(const DispatchTarget &target);
+
     Duration m_removalGrace;
+    std::uint64_t m_version = 0; ///< Records up to here are applied.
     std::map<TargetName, DispatchTarget> m_targets;
     std::map<TargetName, Instant> m_removedAt; ///< Entries in their grace period.
 };
--- a/include/eelgrasscleat/Node/Ports.h
+++ b/include/eelgrasscleat/Node/Ports.h
@@ -102,6 +102,8 @@
     virtual void withdrawCrash(const TargetLife &target) = 0;
     /// Starts or stops watching the targets of this instance's zone and the crashes of all zones.
     virtual void watchTargets(bool watch) = 0;
+    /// Reads the targets of any zone once, for a peer that the store turns away.
+    virtual void readTargets(const ZoneName &zone, std::function<void(Result<TargetListing>)> done) = 0;
     /// Joins the zone's group, or renews the membership. After an error it is unknown whether the call took effect.
     virtual void renewMembership(std::uint64_t generation,
                                  std::chrono::milliseconds timeToLive,
@@ -119,10 +121,11 @@
     virtual void evacuationsListed(EvacuatedZones zones) = 0;
     /// The operator has evacuated a zone or taken it back. @param version see EvacuatedZones::version
     virtual void evacuationChanged(const ZoneName &zone, bool evacuated, std::uint64_t version) = 0;
-    virtual void targetUpdated(const DispatchTarget &target) = 0;
-    virtual void targetRemoved(const TargetName &target) = 0;
+    /// @param version see TargetListing::version
+    virtual void targetUpdated(const DispatchTarget &target, std::uint64_t version) = 0;
+    virtual void targetRemoved(const TargetName &target, std::uint64_t version) = 0;
     /// The complete list of the zone's targets was read.
-    virtual void targetListReceived(const std::vector<DispatchTarget> &targets) = 0;
+    virtual void targetListReceived(const TargetListing &listing) = 0;
     /// All entries that the list of targets has were reported.
     virtual void targetListConfirmed() = 0;
     /// An owner has published a crash.
--- a/lib/Dispatch/FleetView.cpp
+++ b/lib/Dispatch/FleetView.cpp
@@ -40,7 +40,7 @@
     return nullptr;
 }
 
-bool TargetList::set(const DispatchTarget &target)
+bool TargetList::setEntry(const DispatchTarget &target)
 {
     m_removedAt.erase(target.name);
     DispatchTarget &entry = m_targets[target.name];
@@ -51,25 +51,44 @@
     return true;
 }
 
-void TargetList::entryRemoved(const TargetName &name, Instant now)
+bool TargetList::set(const DispatchTarget &target, std::uint64_t version)
 {
+    if (version <= m_version) {
+        return false;
+    }
+    m_version = version;
+    return setEntry(target);
+}
+
+void TargetList::entryRemoved(const TargetName &name, std::uint64_t version, Instant now)
+{
+    if (version <= m_version) {
+        return;
+    }
+    m_version = version;
     if (m_targets.find(name) != m_targets.end()) {
         m_removedAt.emplace(name, now);
     }
 }
 
-void TargetList::replace(const std::vector<DispatchTarget> &targets, Instant now)
+bool TargetList::replace(const TargetListing &listing, Instant now)
 {
+    if (listing.version < m_version) {
+        return false;
+    }
+    m_version = listing.version;
     for (const auto &it : m_targets) {
-        const bool listed = std::any_of(
-            targets.begin(), targets.end(), [&it](const DispatchTarget &target) { return target.name == it.first; });
+        const bool listed = std::any_of(listing.targets.begin(), listing.targets.end(), [&it](const auto &target) {
+            return target.name == it.first;
+        });
         if (!listed) {
             m_removedAt.emplace(it.first, now);
         }
     }
-    for (const DispatchTarget &it : targets) {
-        set(it);
+    for (const DispatchTarget &it : listing.targets) {
+        setEntry(it);
     }
+    return true;
 }
 
 std::vector<TargetName> TargetList::advance(Instant now)
@@ -91,6 +110,7 @@
 {
     m_targets.clear();
     m_removedAt.clear();
+    m_version = 0;
 }
 
 } // namespace Eelgrasscleat
--- a/lib/Entry/PeerEvents.cpp
+++ b/lib/Entry/PeerEvents.cpp
@@ -75,6 +75,8 @@
     case schema::PeerMessage::kDispatchEnd:
     case schema::PeerMessage::kFleetConfigRequest:
     case schema::PeerMessage::kFleetConfig:
+    case schema::PeerMessage::kZoneTargetsRequest:
+    case schema::PeerMessage::kZoneTargets:
         // Exchanged only between dispatching instances (lib/Node); entry instances ignore them.
     case schema::PeerMessage::kHeartbeat:
     case schema::PeerMessage::KIND_NOT_SET:
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -61,7 +61,7 @@
     }
     m_now = suspendAwareNow();
     m_startedAt = m_now;
-    m_targetsConfirmedAt = m_now;
+    m_targetListRefresh.confirmed(m_now);
     m_store->registerInstance(m_settings.self);
     m_store->start();
     m_advanceTimer.start();
@@ -115,7 +115,7 @@
     }
     m_dispatcher.advance(m_now);
     advanceOwnership();
-    checkTargetList();
+    refreshTargetList();
     LocalStatus status;
     status.owner = !m_ownedShards.empty();
     status.candidate = m_configuration.isKnown() && m_ownership.isCandidate(m_now);
@@ -168,7 +168,7 @@
     m_store->watchTargets(wantsTargets);
     if (!wantsTargets) {
         m_targets.clear();
-        m_targetsConfirmedAt = m_now;
+        m_targetListRefresh.confirmed(m_now);
     }
     if (action == MembershipAction::None) {
         return;
--- a/lib/Node/NodeImpl.h
+++ b/lib/Node/NodeImpl.h
@@ -6,6 +6,7 @@
 #include "DecisionLog.h"
 #include "PeerLink.h"
 
+#include <eelgrasscleat/Dispatch/TargetListRefresh.h>
 #include <eelgrasscleat/Node/DispatchNode.h>
 
 #include <QTimer>
@@ -40,9 +41,9 @@
     void configurationReceived(FleetConfiguration configuration) override;
     void evacuationsListed(EvacuatedZones zones) override;
     void evacuationChanged(const ZoneName &zone, bool evacuated, std::uint64_t version) override;
-    void targetUpdated(const DispatchTarget &target) override;
-    void targetRemoved(const TargetName &target) override;
-    void targetListReceived(const std::vector<DispatchTarget> &targets) override;
+    void targetUpdated(const DispatchTarget &target, std::uint64_t version) override;
+    void targetRemoved(const TargetName &target, std::uint64_t version) override;
+    void targetListReceived(const TargetListing &listing) override;
     void targetListConfirmed() override;
     void crashPublished(const TargetCrash &crash) override;
     void crashWithdrawn(const TargetLife &target) override;
@@ -72,6 +73,8 @@
     void peerReportedJobEnd(const InstanceName &peer, const JobEnd &end) override;
     void peerConfigurationReceived(const InstanceName &peer, FleetConfiguration configuration) override;
     const FleetConfiguration &configuration() override;
+    void peerRequestedTargets(const InstanceName &peer, const ZoneName &zone) override;
+    void peerReturnedTargets(const InstanceName &peer, const std::optional<TargetListing> &listing) override;
 
     // JobRouterObserver.
     void jobRouted(const InstanceName &dispatcher, std::uint64_t ticket, const JobRequest &request) override;
@@ -117,7 +120,8 @@
     void applyEvacuations(const std::set<ZoneName> &before, const std::string &source);
     void advanceOwnership();
     void applyOwnership();
-    void checkTargetList();
+    void refreshTargetList();
+    void applyListing(const TargetListing &listing);
     void assignTargetIfOwned(const DispatchTarget &target);
     void assignOwnedTargets();
     [[nodiscard]] bool areHandoverTargetsIdle() const;
@@ -133,8 +137,9 @@
     ConfigurationView m_configuration;
     EvacuationView m_evacuations;
     TargetList m_targets;
-    Instant m_targetsConfirmedAt {}; ///< When the list of targets was last read in full, or its watch began.
+    TargetListRefresh m_targetListRefresh;
     bool m_isTargetListStale = false;
+    bool m_isTargetListRelayed = false; ///< A peer has returned the list since the store last did.
     PeerLink m_peerLink;
     QTimer m_advanceTimer;
     CallerFrontend *m_callers = nullptr;
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -97,6 +97,22 @@
     m_network.send(peer, std::move(message));
 }
 
+void PeerLink::requestTargets(const InstanceName &peer, const ZoneName &zone)
+{
+    schema::PeerMessage message;
+    message.mutable_zone_targets_request()->set_zone(zone.value);
+    m_network.send(peer, std::move(message));
+}
+
+void PeerLink::returnTargets(const InstanceName &peer,
+                             const ZoneName &zone,
+                             const std::optional<TargetListing> &listing)
+{
+    schema::PeerMessage message;
+    writeListing(zone, listing, *message.mutable_zone_targets());
+    m_network.send(peer, std::move(message));
+}
+
 Duration PeerLink::statusInterval(const InstanceName &name, const Peer &peer) const
 {
     return peer.wantsJobs || m_selector.isJobPeer(name) ? kJobStatusInterval : kWatchStatusInterval;
@@ -321,6 +337,12 @@
     case schema::PeerMessage::kFleetConfig:
         m_events.peerConfigurationReceived(name, readConfiguration(message.fleet_config()));
         break;
+    case schema::PeerMessage::kZoneTargetsRequest:
+        m_events.peerRequestedTargets(name, ZoneName(message.zone_targets_request().zone()));
+        break;
+    case schema::PeerMessage::kZoneTargets:
+        m_events.peerReturnedTargets(name, readListing(m_self.zone, message.zone_targets()));
+        break;
     default:
         break; // Messages that only entry instances use.
     }
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -50,6 +50,10 @@
     virtual void peerConfigurationReceived(const InstanceName &peer, FleetConfiguration configuration) = 0;
     /// @returns the current configuration, to answer a peer's request.
     virtual const FleetConfiguration &configuration() = 0;
+    /// The peer can't read the targets of its zone from the store; to be answered by PeerLink::returnTargets().
+    virtual void peerRequestedTargets(const InstanceName &peer, const ZoneName &zone) = 0;
+    /// Answers PeerLink::requestTargets(). @param listing nothing if the peer can't read the list either
+    virtual void peerReturnedTargets(const InstanceName &peer, const std::optional<TargetListing> &listing) = 0;
 };
 
 /// Exchanges messages with the peers that this instance has selected, and with those that have selected it.
@@ -73,6 +77,9 @@
     void submitJob(const InstanceName &peer, std::uint64_t ticket, const JobRequest &request);
     void cancelJob(const InstanceName &peer, std::uint64_t ticket);
     void reportJobEnd(const InstanceName &peer, const JobEnd &end);
+    void requestTargets(const InstanceName &peer, const ZoneName &zone);
+    /// @param listing nothing if the store doesn't return it
+    void returnTargets(const InstanceName &peer, const ZoneName &zone, const std::optional<TargetListing> &listing);
 
     /// Sends the status to all peers for which it is due, ends sessions in which a message was dropped, and selects
     /// peers anew.
@@ -83,6 +90,8 @@
     {
         return m_peers.size();
     }
+    /// @returns the peers to which messages can be sent, in the order of their names.
+    [[nodiscard]] std::vector<InstanceName> connectedPeers() const;
     /// @returns the known state of the other instances in this instance's zone.
     [[nodiscard]] ZoneView zoneView(Instant now) const;
 
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -230,4 +230,52 @@
     return configuration;
 }
 
+void writeListing(const ZoneName &zone, const std::optional<TargetListing> &listing, schema::ZoneTargets &message)
+{
+    message.set_zone(zone.value);
+    message.set_available(listing.has_value());
+    if (!listing) {
+        return;
+    }
+    message.set_version(listing->version);
+    for (const DispatchTarget &it : listing->targets) {
+        auto &target = *message.add_targets();
+        target.set_name(it.name.value);
+        target.set_service(it.service.value);
+        target.set_address(it.address);
+        target.set_rack(it.rack);
+        for (const std::string &label : it.labels) {
+            target.add_labels(label);
+        }
+        target.set_milli_cores(it.capacity.milliCores);
+        target.set_memory_mb(it.capacity.memoryMb);
+        target.set_accelerators(it.capacity.accelerators);
+        target.set_incarnation(it.incarnation);
+        target.set_draining(it.draining);
+    }
+}
+
+std::optional<TargetListing> readListing(const ZoneName &zone, const schema::ZoneTargets &message)
+{
+    if (!message.available() || message.zone() != zone.value) {
+        return std::nullopt;
+    }
+    TargetListing listing;
+    listing.version = message.version();
+    for (const auto &it : message.targets()) {
+        DispatchTarget target;
+        target.name = TargetName(it.name());
+        target.service = ServiceName(it.service());
+        target.zone = zone;
+        target.address = it.address();
+        target.rack = it.rack();
+        target.labels.assign(it.labels().begin(), it.labels().end());
+        target.capacity = { it.milli_cores(), it.memory_mb(), it.accelerators() };
+        target.incarnation = it.incarnation();
+        target.draining = it.draining();
+        listing.targets.push_back(std::move(target));
+    }
+    return listing;
+}
+
 } // namespace Eelgrasscleat
--- a/lib/Node/PeerMessages.h
+++ b/lib/Node/PeerMessages.h
@@ -1,5 +1,5 @@
 /// @file
-/// Conversion of jobs, job ends, loads and configurations to and from messages between instances.
+/// Conversion of jobs, job ends, loads, configurations and lists of targets to and from messages between instances.
 #pragma once
 
 #include <eelgrasscleat/Dispatch/Dispatcher.h>
@@ -28,4 +28,9 @@
 void writeConfiguration(const FleetConfiguration &configuration, schema::FleetConfig &message);
 FleetConfiguration readConfiguration(const schema::FleetConfig &message);
 
+/// @param listing nothing if the store doesn't return it
+void writeListing(const ZoneName &zone, const std::optional<TargetListing> &listing, schema::ZoneTargets &message);
+/// @returns nothing if the store hasn't returned the list, or if it is that of another zone than @p zone.
+std::optional<TargetListing> readListing(const ZoneName &zone, const schema::ZoneTargets &message);
+
 } // namespace Eelgrasscleat
--- a/lib/Node/PeerSessions.cpp
+++ b/lib/Node/PeerSessions.cpp
@@ -121,6 +121,17 @@
     }
 }
 
+std::vector<InstanceName> PeerLink::connectedPeers() const
+{
+    std::vector<InstanceName> peers;
+    for (const auto &it : m_peers) {
+        if (it.second.isConnected) {
+            peers.push_back(it.first);
+        }
+    }
+    return peers;
+}
+
 /// Keeps a session with an instance that has selected this one.
 /// @returns whether the message is to be processed.
 bool PeerLink::adopt(const InstanceName &name, const schema::PeerMessage &message)
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -49,6 +49,7 @@
         self.answers = {}
         self.starts = 0
         self.evacuated = {}  # Zone: since when.
+        self.capacity_is_known = False  # Shrunk capacities are judged on a disturbed deployment, too.
 
     def disturbed(self, for_s=0.0):
         """Something is amiss from now on for that long."""
@@ -89,7 +90,8 @@
     def look_at(self, target):
         """Capacity of a target, and whether one of its tasks is at work elsewhere too."""
         used = sum(it.cpu for it in target.running.values())
-        if used > target.cpu and (used > target.largest_cpu or target.shrunk_for() > CONTACT_S + ANNOUNCE_S and self.is_calm()):
+        judged = target.shrunk_for() > CONTACT_S + ANNOUNCE_S and (self.is_calm() or self.capacity_is_known)
+        if used > target.cpu and (used > target.largest_cpu or judged):
             self.breach("no target over its capacity", f"{target.name}: {used} of {target.cpu}")
         for task, _ in list(target.running):
             elsewhere = set()
--- a/unittests/Node/DispatchNodeTest.cpp
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// Tests one instance with fake callers, store and targets: it owns its zone, serves jobs, and answers every caller
 /// before a graceful shutdown completes.
+#include "NodeFakes.h"
+
 #include "../Wire/EventLoop.h"
 
 #include <eelgrasscleat/Node/DispatchNode.h>
@@ -13,115 +15,6 @@
 namespace Eelgrasscleat
 {
 
-/// Records the answers to callers.
-class RecordingCallerFrontend : public CallerFrontend
-{
-public:
-    void answerEnd(CallerId caller, const JobEnd &end) override
-    {
-        ends[caller.value] = end;
-    }
-    void answerState(CallerId, bool) override
-    {
-    }
-    void answerPendingCount(CallerId, std::uint32_t) override
-    {
-    }
-    void setReady(bool value) override
-    {
-        ready = value;
-    }
-    void setLimits(const FleetConfiguration &) override
-    {
-    }
-    void abortConnections() override
-    {
-    }
-    void closeAfterAnswers() override
-    {
-        closing = true;
-    }
-    [[nodiscard]] bool isIdle() const override
-    {
-        return true;
-    }
-
-    std::map<std::uint64_t, JobEnd> ends;
-    bool ready = false;
-    bool closing = false;
-};
-
-/// A store whose group has no other members: the instance gets the zone's only shard at once.
-class SoleMemberStore : public CoordinationStore
-{
-public:
-    void start() override
-    {
-    }
-    void registerInstance(const InstanceRegistration &) override
-    {
-    }
-    void deregisterInstance(const InstanceName &, std::function<void()> done) override
-    {
-        done();
-    }
-    void watchTargets(bool) override
-    {
-    }
-    void publishCrash(const TargetCrash &crash) override
-    {
-        published.push_back(crash);
-    }
-    void withdrawCrash(const TargetLife &) override
-    {
-    }
-    void renewMembership(std::uint64_t,
-                         std::chrono::milliseconds,
-                         std::function<void(Result<MembershipAnswer>)> done) override
-    {
-        done(MembershipAnswer { 5, { 0 }, true });
-    }
-    void leaveGroup(std::function<void(Result<Done>)> done) override
-    {
-        done(Done {});
-    }
-
-    std::vector<TargetCrash> published;
-};
-
-/// Targets that accept all commands. Runs end when the test reports so.
-class FakeTargets : public TargetCommands
-{
-public:
-    void start(const StartCommand &command) override
-    {
-        started.push_back(command.run);
-        events->startAnswered(command.target.name, command.run, { CommandStatus::Accepted, TargetTime(1), true });
-    }
-    void stop(const StopCommand &command) override
-    {
-        stopped.push_back(command.run);
-        events->stopAnswered(command.target.name, command.run, { CommandStatus::Accepted, TargetTime(1), true });
-    }
-    void inspect(const InspectCommand &command) override
-    {
-        inspections.push_back(command);
-    }
-    /// Answers the last inspection.
-    void report(const TargetReport &report)
-    {
-        const InspectCommand command = inspections.back();
-        events->inspected(
-            command.target.name, command.number, report, { CommandStatus::Accepted, TargetTime(++clock), true });
-    }
-
-    CommandResultHandler *events = nullptr;
-    std::vector<RunName> started;
-    std::vector<RunName> stopped;
-    std::vector<InspectCommand> inspections;
-    TargetTime::rep clock = 0;
-};
-
 class DispatchNodeTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(DispatchNodeTest);
@@ -335,7 +228,7 @@
         target.zone = ZoneName("zone");
         target.capacity = { 4000, 4000, 0 };
         EventLoop::waitFor([&] {
-            m_node->storeEvents().targetUpdated(target);
+            m_node->storeEvents().targetUpdated(target, ++m_listVersion);
             if (!m_targets.inspections.empty() && !m_reported) {
                 m_reported = true;
                 m_targets.report(TargetReport());
@@ -376,6 +269,7 @@
     SoleMemberStore m_store;
     std::unique_ptr<DispatchNode> m_node;
     std::map<std::uint64_t, JobEnd> m_answeredBeforeStop;
+    std::uint64_t m_listVersion = 0;
     bool m_reported = false;
 };
 
--- a/unittests/Node/PeerLinkTest.cpp
+++ b/unittests/Node/PeerLinkTest.cpp
@@ -57,6 +57,13 @@
         return m_configuration;
     }
 
+    void peerRequestedTargets(const InstanceName &, const ZoneName &) override
+    {
+    }
+    void peerReturnedTargets(const InstanceName &, const std::optional<TargetListing> &) override
+    {
+    }
+
     std::vector<Instant> contacts;
     EvacuatedZones evacuated;
     int jobs = 0;
--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(target_otherZone_notReported);
     CPPUNIT_TEST(target_damagedLater_removed);
     CPPUNIT_TEST(target_zoneSpelledOtherwise_reported);
+    CPPUNIT_TEST(targetList_readForPeer_onlyItsZone);
+    CPPUNIT_TEST(targetList_readForPeersTogether_oneListing);
+    CPPUNIT_TEST(targetList_storeRefusesBoth_errorWithoutCall);
     CPPUNIT_TEST(membership_partitionsListed_areShards);
     CPPUNIT_TEST(membership_storeSilent_errorInTime);
     CPPUNIT_TEST(announce_storeRefuses_writtenLater);
@@ -174,6 +177,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, m_listed.size());
     }
 
+    void targetList_readForPeer_onlyItsZone()
+    {
+        m_stand->write("keyed.servers", { "i-1", targetEntry("other") });
+        m_stand->write("keyed.servers", { "i-2", targetEntry() });
+        m_stand->write("keyed.servers", { "i-3", QByteArray("\xff not JSON") });
+        m_client->readTargets(ZoneName("other"), [this](const auto &result) { m_read.push_back(result); });
+        EventLoop::waitFor([this] { return m_read.size() == 1; });
+        const auto &listing = std::get<TargetListing>(m_read[0]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, listing.targets.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), listing.targets[0].name.value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 3 }, listing.version);
+    }
+
+    void targetList_readForPeersTogether_oneListing()
+    {
+        m_stand->write("keyed.servers", { "i-1", targetEntry("other") });
+        for (const char *it : { "other", "zone" }) {
+            m_client->readTargets(ZoneName(it), [this](const auto &result) { m_read.push_back(result); });
+        }
+        EventLoop::waitFor([this] { return m_read.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(1, m_stand->lists);
+        CPPUNIT_ASSERT(std::get<TargetListing>(m_read[1]).targets.empty());
+    }
+
+    void targetList_storeRefusesBoth_errorWithoutCall()
+    {
+        m_stand->refuses = true;
+        m_client->readTargets(ZoneName("other"), [this](const auto &result) { m_read.push_back(result); });
+        EventLoop::waitFor([this] { return m_read.size() == 1; });
+        CPPUNIT_ASSERT(!isOk(m_read[0]));
+        m_client->start();
+        EventLoop::waitFor([this] { return m_lost == 1; });
+        m_client->readTargets(ZoneName("other"), [this](const auto &result) { m_read.push_back(result); });
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("answered at once", std::size_t { 2 }, m_read.size());
+        CPPUNIT_ASSERT(!isOk(m_read[1]));
+    }
+
     void membership_partitionsListed_areShards()
     {
         m_stand->groupAnswer = R"({"generation":7,"ttl-ms":1200,"parts":[["zone.zone",3,0],["zone.zone",0,5]]})";
@@ -245,17 +285,17 @@
         evacuated ? (void)m_evacuated.zones.insert(zone) : (void)m_evacuated.zones.erase(zone);
         m_evacuated.version = version;
     }
-    void targetUpdated(const DispatchTarget &target) override
+    void targetUpdated(const DispatchTarget &target, std::uint64_t) override
     {
         m_updated.push_back(target.name);
     }
-    void targetRemoved(const TargetName &target) override
+    void targetRemoved(const TargetName &target, std::uint64_t) override
     {
         m_removed.push_back(target);
     }
-    void targetListReceived(const std::vector<DispatchTarget> &targets) override
+    void targetListReceived(const TargetListing &listing) override
     {
-        m_listed = targets;
+        m_listed = listing.targets;
     }
     void targetListConfirmed() override
     {
@@ -312,6 +352,7 @@
     std::uint64_t m_version = 0;
     EvacuatedZones m_evacuated;
     std::vector<DispatchTarget> m_listed;
+    std::vector<Result<TargetListing>> m_read;
     std::vector<TargetName> m_updated;
     std::vector<TargetName> m_removed;
     std::vector<TargetCrash> m_crashes;
