Dispatch: the lease of a run that must end isn't extended, also while its stop goes unanswered

Cause: an inspection renewed the target's lease whenever any run was tracked there. Runs that are being stopped were left out when the oldest contact of a home was looked for, and runs of an earlier owner have none. So only the stop ended them, and while half of the orders go unanswered several stops in a row may be lost.

Ruled out: a lease that was longer than known (renewals went on to the run's end), a client that resubmitted early (1.3 s).

Change: a run that must end keeps the time from which its lease counts: the last contact of its home, at most the end of its job, and none for a run of an earlier owner. Inspections, starts and repeated starts count the target's lease from the earliest of them. Nothing is started beside such a run once its lease is older than homeStartTimeout, since both share the lease. A run of an earlier owner counts as active for a lease after it was found, which followed from the renewal before.

--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -116,6 +116,7 @@
     for (const auto &target : m_targets) {
         for (auto &it : target.second->tracker.runs()) {
             if (it.second.job == job.number) {
+                it.second.leasedSince = std::min(now, lastContact(job.origin.home));
                 ++stoppingRuns;
             }
         }
@@ -268,8 +269,8 @@
         const std::uint32_t capacity = it.second->tracker.target().capacity.milliCores;
         ++load.targets;
         load.totalMilliCores += capacity;
-        const bool isIsolated = it.second->tracker.hasIsolatedRun();
-        freeCapacities.push_back(isIsolated ? 0 : it.second->tracker.freeCapacity().milliCores);
+        const bool isBlocked = m_selector.isBlocked(*it.second, now);
+        freeCapacities.push_back(isBlocked ? 0 : it.second->tracker.freeCapacity().milliCores);
         load.freeMilliCores += freeCapacities.back();
         load.largestMilliCores = std::max(load.largestMilliCores, capacity);
     }
--- a/lib/Dispatch/DispatcherImpl.h
+++ b/lib/Dispatch/DispatcherImpl.h
@@ -30,7 +30,7 @@
         : m_policy(policy)
         , m_commands(commands)
         , m_observer(observer)
-        , m_selector(m_targets, m_health)
+        , m_selector(m_targets, m_health, policy.homeStartTimeout)
         , m_pacer(policy.commands)
         , m_crashes(policy.crashes)
     {
@@ -147,7 +147,8 @@
     void crashAttributed(const std::optional<TargetCrash> &crash, Instant now);
     void giveUpSuspects(const TargetCrash &crash, Instant now);
     [[nodiscard]] bool isGivenUp(const JobRequest &request, Instant now) const;
-    [[nodiscard]] Instant oldestHomeContact(const OwnedTarget &target, Instant now) const;
+    [[nodiscard]] Instant leasedSince(const OwnedTarget &target, Instant now) const;
+    void renewLease(OwnedTarget &target, InspectCommand &command, Instant now);
     [[nodiscard]] OwnedTarget *find(const TargetName &name);
 
     DispatcherPolicy m_policy;
--- a/lib/Dispatch/DispatcherRuns.cpp
+++ b/lib/Dispatch/DispatcherRuns.cpp
@@ -31,11 +31,15 @@
     return it == m_targets.end() ? nullptr : it->second.get();
 }
 
-Instant Dispatcher::Impl::oldestHomeContact(const OwnedTarget &target, Instant now) const
+/// Callers resubmit a job some time after its home was last heard from or its end was reported. No run of it may be
+/// active then, so a lease is counted from the earlier of the two, also while stop commands go unanswered.
+Instant Dispatcher::Impl::leasedSince(const OwnedTarget &target, Instant now) const
 {
     Instant oldest = now;
     for (const auto &it : target.tracker.runs()) {
-        if (!it.second.home.isEmpty() && it.second.state != RunState::Stopping) {
+        if (it.second.leasedSince) {
+            oldest = std::min(oldest, *it.second.leasedSince);
+        } else if (!it.second.home.isEmpty()) {
             oldest = std::min(oldest, lastContact(it.second.home));
         }
     }
@@ -82,7 +86,7 @@
     command.token = target.tracker.token();
     command.run = name;
     command.payload = &job.request.payload;
-    command.leaseEnd = target.tracker.extendLease(m_policy.leaseLength, oldestHomeContact(target, now), now);
+    command.leaseEnd = target.tracker.extendLease(m_policy.leaseLength, leasedSince(target, now), now);
     command.responseTimeout = m_pacer.responseTimeout();
     m_pacer.startSent();
     m_commands.start(command);
@@ -327,6 +331,7 @@
         if (TrackedRun *run = target.tracker.findRun(it)) {
             m_observer.runDecided("unknown", it, name, 0);
             ++m_recentJobs[it.task.job].stoppingRuns;
+            target.tracker.assumeLease(m_policy.leaseLength, now);
             stopRun(target, it, *run, now);
         }
     }
--- a/lib/Dispatch/DispatcherTargets.cpp
+++ b/lib/Dispatch/DispatcherTargets.cpp
@@ -121,6 +121,20 @@
     }
 }
 
+/// Renews the lease, unless a run that must end keeps it from being extended.
+void Dispatcher::Impl::renewLease(OwnedTarget &target, InspectCommand &command, Instant now)
+{
+    TargetTracker &tracker = target.tracker;
+    const TargetTime granted = tracker.leaseEnd();
+    command.leaseEnd = tracker.extendLease(m_policy.leaseLength, leasedSince(target, now), now);
+    command.renew = command.leaseEnd > granted || !tracker.hasRunLeasedBefore(now);
+    if (command.renew == tracker.isRenewing) {
+        return;
+    }
+    tracker.isRenewing = command.renew;
+    m_observer.targetChanged(command.renew ? "renewed" : "not_renewed", tracker.target().name, tracker.runs().size());
+}
+
 void Dispatcher::Impl::inspect(OwnedTarget &target, Instant now)
 {
     TargetTracker &tracker = target.tracker;
@@ -132,14 +146,7 @@
     // last one has been answered.
     const bool isAnswering = tracker.failures == 0 && tracker.inspections.empty();
     if (isAnswering && !tracker.runs().empty() && tracker.hasClock() && tracker.inspected) {
-        command.renew = true;
-        command.leaseEnd = tracker.extendLease(m_policy.leaseLength, oldestHomeContact(target, now), now);
-        for (const auto &it : tracker.runs()) {
-            if (it.second.state == RunState::Stopping && m_jobTable.find(it.second.job) == nullptr) {
-                const double ms = std::chrono::duration<double, std::milli>(now - it.second.dispatchedAt).count();
-                m_observer.runDecided("renewed_beside_stop", it.first, tracker.target().name, ms);
-            }
-        }
+        renewLease(target, command, now);
         const bool stopping = std::any_of(tracker.runs().begin(), tracker.runs().end(), [](const auto &it) {
             return it.second.state == RunState::Stopping;
         });
--- a/lib/Dispatch/TargetSelector.cpp
+++ b/lib/Dispatch/TargetSelector.cpp
@@ -50,6 +50,12 @@
     return false;
 }
 
+bool TargetSelector::isBlocked(const OwnedTarget &target, Instant now) const
+{
+    const TargetTracker &tracker = target.tracker;
+    return tracker.hasIsolatedRun() || tracker.hasRunLeasedBefore(now - m_maxLeaseAge);
+}
+
 bool TargetSelector::isSuitable(const DispatchTarget &target, const ServiceName &service, const JobStep &step)
 {
     if (target.service != service || !step.demand.fitsIn(target.capacity)) {
@@ -116,11 +122,11 @@
 }
 
 /// Reads the state that changes when a run is started.
-void TargetSelector::read(Candidate &candidate, Instant now)
+void TargetSelector::read(Candidate &candidate, Instant now) const
 {
     const TargetTracker &tracker = candidate.target->tracker;
     candidate.available = tracker.freeCapacity();
-    candidate.hasIsolatedRun = tracker.hasIsolatedRun();
+    candidate.isBlocked = isBlocked(*candidate.target, now);
     candidate.runEnds.clear();
     for (const auto &it : tracker.runs()) {
         candidate.runEnds.push_back(tracker.expectedEnd(it.second, now));
@@ -201,7 +207,7 @@
             continue;
         }
         const Timeliness onTarget = timeliness(job, run, it.slowness, m_commandOverhead, now);
-        if (it.hasIsolatedRun || !step.demand.fitsIn(it.available)
+        if (it.isBlocked || !step.demand.fitsIn(it.available)
             || (step.perTargetLimit > 0 && runsOfStep(tracker, task) >= step.perTargetLimit)) {
             continue;
         }
--- a/lib/Dispatch/TargetSelector.h
+++ b/lib/Dispatch/TargetSelector.h
@@ -34,9 +34,12 @@
 class TargetSelector
 {
 public:
-    TargetSelector(OwnedTargets &targets, HealthTracker &health)
+    /// @param maxLeaseAge nothing is started beside a run that must end and was leased earlier: the new run would share
+    /// its lease
+    TargetSelector(OwnedTargets &targets, HealthTracker &health, Duration maxLeaseAge)
         : m_targets(targets)
         , m_health(health)
+        , m_maxLeaseAge(maxLeaseAge)
     {
     }
 
@@ -48,6 +51,8 @@
 
     /// @returns whether a run may be started on the target now, regardless of its free capacity.
     [[nodiscard]] bool isUsable(const OwnedTarget &target, Instant now) const;
+    /// @returns whether a run that is active on the target keeps others from being started beside it.
+    [[nodiscard]] bool isBlocked(const OwnedTarget &target, Instant now) const;
     /// @param isolate whether the task may crash its target: it is kept apart from others as far as possible
     /// @param run expected run time of the task on the reference target
     /// @param waitingTasks tasks that precede this one and wait for a target to become free
@@ -68,18 +73,19 @@
     {
         OwnedTarget *target = nullptr;
         ResourceDemand available;
-        bool hasIsolatedRun = false; ///< Nothing may be started beside it.
+        bool isBlocked = false; ///< See TargetSelector::isBlocked().
         double slowness = 1;
         std::vector<Instant> runEnds; ///< Expected ends of its runs.
     };
 
     [[nodiscard]] static bool isSuitable(const DispatchTarget &target, const ServiceName &service, const JobStep &step);
-    static void read(Candidate &candidate, Instant now);
+    void read(Candidate &candidate, Instant now) const;
     [[nodiscard]] std::size_t
     countStartsInTime(const ActiveJob &job, const JobStep &step, Duration run, double slowness, Instant now) const;
 
     OwnedTargets &m_targets;
     HealthTracker &m_health;
+    Duration m_maxLeaseAge;
     Duration m_commandOverhead {}; ///< Time that commands and reports add to a run.
     std::vector<Candidate> m_candidates;
 };
--- a/lib/Dispatch/TargetTracker.cpp
+++ b/lib/Dispatch/TargetTracker.cpp
@@ -131,6 +131,7 @@
         if (m_runs.find(it.run) == m_runs.end()) {
             TrackedRun run;
             run.state = RunState::Stopping;
+            run.leasedSince = Instant {};
             run.dispatchedAt = now;
             m_runs.emplace(it.run, run);
             changes.unknown.push_back(it.run);
@@ -178,10 +179,10 @@
     return m_clock + std::chrono::duration_cast<TargetTime>(age);
 }
 
-TargetTime TargetTracker::extendLease(Duration leaseLength, Instant lastContact, Instant now)
+TargetTime TargetTracker::extendLease(Duration leaseLength, Instant leasedSince, Instant now)
 {
     assert(m_hasClock && "the lease end is relative to the target's clock");
-    const Duration left = leaseLength - std::max(Duration::zero(), now - lastContact);
+    const Duration left = leaseLength - std::max(Duration::zero(), now - leasedSince);
     const TargetTime end = clockAt(now) + std::chrono::duration_cast<TargetTime>(left);
     m_leaseEnd = std::max(m_leaseEnd, end);
     const auto local = std::chrono::duration<double, std::milli>(m_leaseEnd - m_clock) * (1 + kClockRateError);
@@ -189,6 +190,19 @@
     return m_leaseEnd;
 }
 
+void TargetTracker::assumeLease(Duration leaseLength, Instant now)
+{
+    const auto local = std::chrono::duration_cast<Duration>(leaseLength * (1 + kClockRateError));
+    m_leaseExpiresAt = std::max(m_leaseExpiresAt, now + local);
+}
+
+bool TargetTracker::hasRunLeasedBefore(Instant when) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [when](const auto &it) {
+        return it.second.leasedSince && *it.second.leasedSince < when;
+    });
+}
+
 bool TargetTracker::isLeaseExpired(Instant now) const
 {
     return now >= m_leaseExpiresAt;
--- a/lib/Dispatch/TargetTracker.h
+++ b/lib/Dispatch/TargetTracker.h
@@ -31,6 +31,9 @@
     JobNumber job; ///< None if an earlier owner started the run.
     ResourceDemand demand;
     InstanceName home; ///< Home instance of the job.
+    /// Set once the run must end, since its caller may resubmit the job: the last contact of its home, at most the end
+    /// of its job. The earliest time if an earlier owner started the run.
+    std::optional<Instant> leasedSince;
     bool isolated = false; ///< May crash the target: nothing is started beside it.
     RunState state = RunState::Starting;
     Instant dispatchedAt {}; ///< Time of the first start command, or of the report that listed an unknown run.
@@ -106,9 +109,18 @@
     /// Records the target's clock from a response that has just arrived.
     void sampleClock(TargetTime clock, Instant now);
     /// Extends the target's lease such that no run outlives its home instance by more than @p leaseLength.
-    /// @param lastContact oldest last contact among the home instances of all runs
+    /// @param leasedSince oldest last contact among the home instances of all runs, or end of a job whose run is active
     /// @returns the new lease end on the target's clock, never earlier than the previous one
-    TargetTime extendLease(Duration leaseLength, Instant lastContact, Instant now);
+    TargetTime extendLease(Duration leaseLength, Instant leasedSince, Instant now);
+    /// A run was found whose lease an earlier owner has extended by at most @p leaseLength.
+    void assumeLease(Duration leaseLength, Instant now);
+    /// @returns the latest lease end granted, on the target's clock.
+    [[nodiscard]] TargetTime leaseEnd() const
+    {
+        return m_leaseEnd;
+    }
+    /// @returns whether a run must end that was leased before @p when: the lease can hardly be extended.
+    [[nodiscard]] bool hasRunLeasedBefore(Instant when) const;
     /// @returns whether all leases granted so far have expired.
     [[nodiscard]] bool isLeaseExpired(Instant now) const;
 
@@ -165,6 +177,7 @@
     bool inspected = false; ///< Has reported under the current token.
     bool reachable = true; ///< Answered the last inspection.
     bool fenced = false; ///< Has seen the higher token of another owner.
+    bool isRenewing = true; ///< The lease was extended when it was last to be renewed.
     std::map<std::uint64_t, SentInspection> inspections; ///< Inspections in flight, by number.
     Instant inspectOverdueAt {}; ///< When the response to the latest inspection is overdue.
     Instant nextInspectAt {};
--- a/unittests/Dispatch/FakeFleet.cpp
+++ b/unittests/Dispatch/FakeFleet.cpp
@@ -324,6 +324,7 @@
 void FakeTargetCommands::transmit(const std::function<CommandResult(FakeTarget &)> &command,
                                   const TargetAddress &target,
                                   double bytes,
+                                  double delayedShare,
                                   Duration responseTimeout,
                                   std::function<void(const CommandResult &)> respond)
 {
@@ -359,7 +360,7 @@
     if (isolated || drawChance(random, m_fleet.faults.lostCommands)) {
         return;
     }
-    if (drawChance(random, m_fleet.faults.delayedCommands)) {
+    if (drawChance(random, delayedShare)) {
         // The target has received the command and delays it: it is lost when the target restarts.
         const FakeTarget *receiver = find(target.name);
         const std::uint64_t incarnation = receiver != nullptr ? receiver->description.incarnation : 0;
@@ -381,6 +382,11 @@
     });
 }
 
+double FakeTargetCommands::delayedOrders() const
+{
+    return std::max(m_fleet.faults.delayedCommands, m_fleet.faults.delayedOrders);
+}
+
 void FakeTargetCommands::start(const StartCommand &command)
 {
     const auto task = m_fleet.m_tasks.find(command.run.task);
@@ -403,6 +409,7 @@
         },
         command.target,
         kStartBytes,
+        delayedOrders(),
         command.responseTimeout,
         [this, copy](const CommandResult &result) {
             dispatcher->startAnswered(copy.target.name, copy.run, result, m_queue.now());
@@ -414,6 +421,7 @@
     transmit([this, command](FakeTarget &target) { return target.stop(command.token, command.run, m_queue.now()); },
              command.target,
              kCommandBytes,
+             delayedOrders(),
              command.responseTimeout,
              [this, command](const CommandResult &result) {
                  dispatcher->stopAnswered(command.target.name, command.run, result, m_queue.now());
@@ -436,6 +444,7 @@
     transmit(inspectTarget,
              command.target,
              kCommandBytes,
+             m_fleet.faults.delayedCommands,
              command.wait + command.responseTimeout,
              [this, command, report, respond](const CommandResult &result) {
                  const bool mayWait =
--- a/unittests/Dispatch/FakeFleet.h
+++ b/unittests/Dispatch/FakeFleet.h
@@ -41,6 +41,7 @@
     double lostCommands = 0; ///< Share of commands that are never executed nor answered.
     double lostResponses = 0; ///< Share of commands that are executed but not answered.
     double delayedCommands = 0; ///< Share of commands that are not answered, and executed 2 to 12 s later.
+    double delayedOrders = 0; ///< The same for starts and stops alone, if larger.
 };
 
 /// The link of the dispatcher's instance, which all commands and responses share.
@@ -210,6 +211,7 @@
     void transmit(const std::function<CommandResult(FakeTarget &)> &command,
                   const TargetAddress &target,
                   double bytes,
+                  double delayedShare,
                   Duration responseTimeout,
                   std::function<void(const CommandResult &)> respond);
     void waitForEnd(const InspectCommand &command,
@@ -217,6 +219,8 @@
                     Instant until,
                     const std::function<void(const CommandResult &)> &respond);
     void deliver(std::function<void()> event);
+    /// @returns the share of starts and stops that are delayed.
+    [[nodiscard]] double delayedOrders() const;
     /// @returns what a command to a crashed target gets; nothing if it times out.
     [[nodiscard]] std::optional<CommandResult> answerOfCrashed() const;
     FakeTarget *find(const TargetName &name);
--- a/unittests/Dispatch/LostCommandsTest.cpp
+++ b/unittests/Dispatch/LostCommandsTest.cpp
@@ -1,8 +1,6 @@
 /// @file
 /// Step-by-step tests of commands whose results are lost, late or out of order.
-#include "JobEndObserver.h"
-
-#include <eelgrasscleat/Dispatch/Dispatcher.h>
+#include "RecordingCommands.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,40 +9,6 @@
 namespace Eelgrasscleat
 {
 
-/// Records commands; the test supplies their results.
-class RecordingCommands : public TargetCommands
-{
-public:
-    void start(const StartCommand &command) override
-    {
-        starts.push_back(command);
-    }
-    void stop(const StopCommand &command) override
-    {
-        stops.push_back(command);
-    }
-    void inspect(const InspectCommand &command) override
-    {
-        inspections.push_back(command);
-    }
-
-    std::vector<StartCommand> starts;
-    std::vector<StopCommand> stops;
-    std::vector<InspectCommand> inspections;
-};
-
-/// Records the results of jobs.
-class RecordingObserver : public JobEndObserver
-{
-public:
-    void jobEnded(const InstanceName &, const JobEnd &end) override
-    {
-        ends.push_back(end);
-    }
-
-    std::vector<JobEnd> ends;
-};
-
 class LostCommandsTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(LostCommandsTest);
--- a/unittests/Dispatch/OwnerScheduleTest.cpp
+++ b/unittests/Dispatch/OwnerScheduleTest.cpp
@@ -20,7 +20,6 @@
 constexpr Duration kResubmitDelay = std::chrono::milliseconds(1300);
 constexpr Duration kHomeTimeout = std::chrono::milliseconds(600);
 constexpr Duration kTakeoverDelay = std::chrono::milliseconds(1200);
-constexpr Duration kDeadline = std::chrono::milliseconds(2500);
 
 const InstanceName kHome("home");
 
@@ -75,8 +74,8 @@
     /// leases end its runs.
     void runHomeLoss()
     {
-        ownHalf(m_first, 0);
-        ownHalf(m_second, 1);
+        ownHalf(m_first, 0, FencingToken(1));
+        ownHalf(m_second, 1, FencingToken(1));
         m_owner = &m_first;
         tick(m_first);
         tick(m_second);
@@ -97,6 +96,41 @@
         m_queue.runUntil(m_queue.now() + std::chrono::seconds(8));
     }
 
+    /// The owner of one half of the targets dies with long tasks at work, while half of the starts and stops are
+    /// delayed. Its successor takes these targets over before the leases of the tasks have ended. Callers resubmit to
+    /// the owner of the other half.
+    void runOwnerDeath()
+    {
+        constexpr Duration kDetection = std::chrono::milliseconds(450);
+        constexpr Duration kDelays = std::chrono::seconds(3);
+        m_minWork = std::chrono::milliseconds(1800);
+        m_deadline = std::chrono::seconds(6);
+        Owner successor(m_fleet, m_queue);
+        ownHalf(m_first, 0, FencingToken(1));
+        ownHalf(m_second, 1, FencingToken(1));
+        m_owner = &m_first;
+        tick(m_first);
+        tick(m_second);
+        tick(successor);
+        for (int i = 0; i < 8; ++i) {
+            m_queue.after(std::chrono::milliseconds(100 + i * 100), [this, i] { submitNew(i); });
+        }
+        const Duration death = std::chrono::milliseconds(1000 + drawBelow(m_fleet.random, 500));
+        m_queue.after(death, [this] {
+            m_fleet.faults.delayedOrders = 0.5;
+            m_first.commands.isolated = true;
+            m_first.commands.frozen = true;
+            m_first.reachable = false;
+            resubmitOpenJobs(m_first);
+        });
+        m_queue.after(death + kDetection, [this, &successor] {
+            ownHalf(successor, 0, FencingToken(2));
+            m_owner = &m_second;
+        });
+        m_queue.after(death + kDelays, [this] { m_fleet.faults.delayedOrders = 0; });
+        m_queue.runUntil(m_queue.now() + std::chrono::seconds(12));
+    }
+
     void run()
     {
         own(m_first, FencingToken(1));
@@ -137,10 +171,10 @@
         }
     }
 
-    void ownHalf(Owner &owner, std::size_t half)
+    void ownHalf(Owner &owner, std::size_t half, FencingToken token)
     {
         for (std::size_t i = half; i < m_fleet.targets.size(); i += 2) {
-            owner.dispatcher.targetOwned(m_fleet.targets[i].description, FencingToken(1), m_queue.now());
+            owner.dispatcher.targetOwned(m_fleet.targets[i].description, token, m_queue.now());
         }
     }
 
@@ -169,7 +203,7 @@
         JobStep step;
         step.tasks = 1 + static_cast<std::uint32_t>(drawBelow(random, 5));
         step.demand = { 9000 + static_cast<std::uint32_t>(drawBelow(random, 9000)), 64, 0 };
-        step.estimate = std::chrono::milliseconds(60 + drawBelow(random, 600));
+        step.estimate = m_minWork + std::chrono::milliseconds(drawBelow(random, 600));
         request.steps.push_back(step);
         for (std::uint32_t i = 0; i < step.tasks; ++i) {
             m_fleet.registerTask({ request.id, 0, i }, step.demand, step.estimate);
@@ -191,7 +225,7 @@
         job.ticket = ++m_lastTicket;
         JobRequest request = job.request;
         request.submitted = m_queue.now();
-        request.deadline = m_queue.now() + kDeadline;
+        request.deadline = m_queue.now() + m_deadline;
         owner.dispatcher.homeContacted(kHome, m_queue.now());
         owner.dispatcher.submit({ kHome, job.ticket }, std::move(request), m_queue.now());
     }
@@ -287,6 +321,8 @@
     Owner m_first;
     Owner m_second;
     Owner *m_owner = nullptr;
+    Duration m_minWork = std::chrono::milliseconds(60);
+    Duration m_deadline = std::chrono::milliseconds(2500);
     std::map<JobId, Job> m_jobs;
     std::uint64_t m_lastTicket = 0;
 };
@@ -296,6 +332,7 @@
     CPPUNIT_TEST_SUITE(OwnerScheduleTest);
     CPPUNIT_TEST(commands_lostAndLate_invariantsHold);
     CPPUNIT_TEST(home_diesAndOwnerIsIsolated_noTaskRunsTwice);
+    CPPUNIT_TEST(owner_diesWhileOrdersAreDelayed_noTaskRunsTwice);
     CPPUNIT_TEST(commands_allAnswered_jobsComplete);
     CPPUNIT_TEST_SUITE_END();
 
@@ -328,6 +365,22 @@
         }
     }
 
+    /// Review case 1: the successor renewed the leases of runs that it was stopping.
+    void owner_diesWhileOrdersAreDelayed_noTaskRunsTwice()
+    {
+        constexpr std::uint64_t kSeeds = 300;
+        std::size_t completed = 0;
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            OwnerSchedule schedule(seed);
+            schedule.runOwnerDeath();
+            const auto &violations = schedule.fleet().violations();
+            const std::string context = "seed " + std::to_string(seed) + ": ";
+            CPPUNIT_ASSERT_MESSAGE(context + (violations.empty() ? "" : violations.front()), violations.empty());
+            completed += schedule.completed;
+        }
+        CPPUNIT_ASSERT_GREATER(kSeeds, static_cast<std::uint64_t>(completed));
+    }
+
     void commands_allAnswered_jobsComplete()
     {
         constexpr std::uint64_t kSeeds = 50;
