Platform: an odd entry in a list costs that entry alone

Causes: numbers were checked as whole and then cut to 32 or 16 bits (a capacity of 2^32 + 1,000,000 became 1,000,000; a port of 65,545 became 9; attempts of 2^32 became none). Errors of one entry were reported for the whole: an item of a listing without a readable key or value made the listing fail for as long as it was there, and an odd route kept all others at an earlier version. Ends and clocks in targets' reports were converted from doubles of any size. Rows of other groups counted as shards.

Change: each field has a range, and what is out of it, missing or of another type is an error of that entry, with a log line of limited rate and a counter. Names and keys are printable UTF-8, since they become parts of headers, messages and log lines. Listings and pages return what could be read beside the errors. A job id that is no UTF-8 is refused at once: in a message between instances it would end the session. Log lines stay JSON whatever they quote.

Tests changed: RecordsTest::configuration_damaged_namedError asked for the whole configuration to be rejected over one route; now the route is left out and named, which is as strict about the route. Entries in StoreClientTest have the field born, which the platform's page lists and which is needed now.

--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -176,6 +176,18 @@
     writeLog(LogLevel::Info, event, fields);
 }
 
+void DecisionLog::recordRejected(const Error &error, Instant now)
+{
+    const std::string step(stepName(error.step));
+    m_metrics.counter("eelgrasscleat_records_rejected_total", "step", step, "Records that couldn't be read, skipped")
+        .Increment();
+    if (acquireLine(now)) {
+        writeLog(LogLevel::Warn,
+                 "record rejected",
+                 { { "step", step }, { "peer", error.peer }, { "detail", error.detail } });
+    }
+}
+
 void DecisionLog::setSessions(std::size_t sessions)
 {
     m_sessions.Set(static_cast<double>(sessions));
--- a/lib/Node/DecisionLog.h
+++ b/lib/Node/DecisionLog.h
@@ -33,6 +33,9 @@
     /// @param event log message and metric label
     void recordEvent(std::string_view event, std::initializer_list<LogField> fields);
 
+    /// Another writer's record was skipped.
+    void recordRejected(const Error &error, Instant now);
+
     /// Updates the metric of the number of sessions with peers.
     void setSessions(std::size_t sessions);
 
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -332,9 +332,7 @@
 
 void DispatchNode::Impl::recordRejected(const Error &error)
 {
-    m_log.recordEvent(
-        "record rejected",
-        { { "step", std::string(stepName(error.step)) }, { "peer", error.peer }, { "detail", error.detail } });
+    m_log.recordRejected(error, suspendAwareNow());
 }
 
 void DispatchNode::Impl::storeReachabilityChanged(bool reachable, const std::string &detail)
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -2,12 +2,16 @@
 /// Passes jobs between callers, the job router, local and remote dispatchers, and targets.
 #include "NodeImpl.h"
 
+#include <eelgrasscleat/Support/Utf8.h>
+
 #include <algorithm>
 #include <utility>
 
 namespace Eelgrasscleat
 {
 
+/// Longest id of a job, in bytes.
+constexpr std::size_t kMaxJobIdBytes = 256;
 /// Time for which submissions wait for the first configuration: a few reads from the store.
 constexpr Duration kConfigurationWait = std::chrono::milliseconds(500);
 
@@ -96,12 +100,14 @@
     }
     JobId id(request.path.substr(route->pathPrefix.size()));
     auto *job = std::get_if<JobRequest>(&request.job);
-    if (job == nullptr || id.isEmpty()) {
+    // Peers drop the connection over a message whose texts are no valid UTF-8.
+    const bool isSound = !id.isEmpty() && id.value.size() <= kMaxJobIdBytes && isPrintableUtf8(id.value);
+    if (job == nullptr || !isSound) {
         const auto *error = std::get_if<Error>(&request.job);
         m_log.recordEvent("request rejected",
                           { { "job", id.value },
                             { "request", request.requestId },
-                            { "detail", error != nullptr ? error->detail : "the path contains no job id" } });
+                            { "detail", error != nullptr ? error->detail : "the path contains no sound job id" } });
         const bool unsupported = error != nullptr && error->code == ErrorCode::Refused;
         refuse(request, id, unsupported ? JobEndReason::Unsupported : JobEndReason::Malformed);
         return;
--- a/lib/Support/LineWriter.cpp
+++ b/lib/Support/LineWriter.cpp
@@ -2,6 +2,8 @@
 /// Formatting, and writing without waiting.
 #include "LineWriter.h"
 
+#include <eelgrasscleat/Support/Utf8.h>
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -21,11 +23,15 @@
 /// Bytes that are written out at once without waiting for flush().
 constexpr std::size_t kFlushBytes = std::size_t { 32 } * 1024;
 
+/// Bytes that are no valid UTF-8 are replaced: a line must stay readable whatever its fields quote.
 void appendEscaped(std::string &out, std::string_view text)
 {
-    for (const char it : text) {
+    constexpr unsigned char kFirstPrintable = 0x20;
+    constexpr unsigned char kFirstNonAscii = 0x80;
+    while (!text.empty()) {
+        const char it = text[0];
         const auto byte = static_cast<unsigned char>(it);
-        constexpr unsigned char kFirstPrintable = 0x20;
+        std::size_t length = 1;
         if (it == '"' || it == '\\') {
             out += '\\';
             out += it;
@@ -33,9 +39,15 @@
             std::array<char, 8> escape {};
             std::snprintf(escape.data(), escape.size(), "\\u%04x", byte);
             out += escape.data();
-        } else {
+        } else if (byte < kFirstNonAscii) {
             out += it;
+        } else if (const std::size_t valid = utf8SequenceLength(text); valid > 0) {
+            out += text.substr(0, valid);
+            length = valid;
+        } else {
+            out += "\\ufffd";
         }
+        text.remove_prefix(length);
     }
 }
 
--- a/unittests/Node/DispatchNodeTest.cpp
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(job_configurationOverdue_refused);
     CPPUNIT_TEST(job_beforeConfigurationCallerGone_notRun);
     CPPUNIT_TEST(job_unknownRoute_refusedWithReason);
+    CPPUNIT_TEST(job_oddId_refusedAsMalformed);
     CPPUNIT_TEST(request_beforeConfiguration_refusedWithNoConfiguration);
     CPPUNIT_TEST(evacuation_ownZone_jobsRefusedAndStartsEnd);
     CPPUNIT_TEST(evacuation_takenBack_jobsServedAgain);
@@ -106,6 +107,18 @@
         CPPUNIT_ASSERT(m_callers.ends.at(1).reason == JobEndReason::UnknownRoute);
     }
 
+    void job_oddId_refusedAsMalformed()
+    {
+        waitUntilReady();
+        std::uint64_t caller = 0;
+        for (const std::string &it :
+             { std::string("\xff"), std::string("a\nb"), std::string(300, 'x'), std::string() }) {
+            submitAs(++caller, "host", it);
+            CPPUNIT_ASSERT(m_callers.ends.at(caller).reason == JobEndReason::Malformed);
+        }
+        CPPUNIT_ASSERT(m_targets.started.empty());
+    }
+
     void request_beforeConfiguration_refusedWithNoConfiguration()
     {
         std::uint64_t caller = 0;
@@ -238,6 +251,11 @@
     }
 
     void submit(std::uint64_t caller, const std::string &host = "host")
+    {
+        submitAs(caller, host, "job" + std::to_string(caller));
+    }
+
+    void submitAs(std::uint64_t caller, const std::string &host, const std::string &id)
     {
         JobRequest job;
         job.payload = "payload";
@@ -248,7 +266,7 @@
         CallerRequest request;
         request.caller = CallerId(caller);
         request.host = host;
-        request.path = "/jobs/job" + std::to_string(caller);
+        request.path = "/jobs/" + id;
         request.job = job;
         m_node->callerEvents().requestReceived(request);
     }
--- a/unittests/PlatformAdapter/RecordsTest.cpp
+++ b/unittests/PlatformAdapter/RecordsTest.cpp
@@ -120,7 +120,8 @@
     void configuration_wellFormed_decoded()
     {
         const auto read = decodeConfiguration(kConfiguration);
-        const auto &configuration = std::get<FleetConfiguration>(read);
+        const auto &configuration = std::get<ConfigurationRecord>(read).configuration;
+        CPPUNIT_ASSERT(std::get<ConfigurationRecord>(read).rejected.empty());
         CPPUNIT_ASSERT(configuration.version == ConfigVersion(7));
         const FleetRoute &route = configuration.routes.at(0);
         CPPUNIT_ASSERT_EQUAL(std::string("/lohu930/"), route.pathPrefix);
@@ -138,7 +139,10 @@
         CPPUNIT_ASSERT(!isOk(decodeConfiguration(damaged)));
         damaged = kConfiguration;
         damaged.replace("\"host\":\"h\",", "");
-        CPPUNIT_ASSERT(std::get<Error>(decodeConfiguration(damaged)).detail.find("host") != std::string::npos);
+        const auto read = decodeConfiguration(damaged);
+        const auto &record = std::get<ConfigurationRecord>(read);
+        CPPUNIT_ASSERT(record.configuration.routes.empty());
+        CPPUNIT_ASSERT(record.rejected.at(0).detail.find("host") != std::string::npos);
     }
 
     void records_encoded_decodedAgain()
--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -24,6 +24,11 @@
     CPPUNIT_TEST(target_otherZone_notReported);
     CPPUNIT_TEST(target_damagedLater_removed);
     CPPUNIT_TEST(target_zoneSpelledOtherwise_reported);
+    CPPUNIT_TEST(target_oddEntriesAmongOthers_followingGoesOn);
+    CPPUNIT_TEST(configuration_oddRouteAndOddRecord_followingGoesOn);
+    CPPUNIT_TEST(instance_oddEntriesAmongOthers_followingGoesOn);
+    CPPUNIT_TEST(crash_oddEntriesAmongOthers_followingGoesOn);
+    CPPUNIT_TEST(membership_oddRows_skippedAndCounted);
     CPPUNIT_TEST(targetList_readForPeer_onlyItsZone);
     CPPUNIT_TEST(targetList_readForPeersTogether_oneListing);
     CPPUNIT_TEST(targetList_storeRefusesBoth_errorWithoutCall);
@@ -177,6 +182,69 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, m_listed.size());
     }
 
+    void target_oddEntriesAmongOthers_followingGoesOn()
+    {
+        writeOdd("keyed.servers");
+        m_stand->write("keyed.servers", { "i-1", targetEntry() });
+        m_client->watchTargets(true);
+        EventLoop::waitFor([this] { return m_listed.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(kOddRecords, m_rejected);
+        writeOdd("keyed.servers");
+        m_stand->write("keyed.servers", { "i-2", targetEntry() });
+        EventLoop::waitFor([this] { return m_updated.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(2 * kOddRecords, m_rejected);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the store stays reachable", 0, m_lost);
+    }
+
+    void configuration_oddRouteAndOddRecord_followingGoesOn()
+    {
+        writeConfiguration(3);
+        m_client->start();
+        EventLoop::waitFor([this] { return m_version == 3; });
+        m_stand->write("keyed.op", { "config", deeplyNested() });
+        m_stand->write("keyed.op",
+                       { "config", R"({"version":4,"routes":[{"name":7}],"limits":{"max-body-bytes":0}})" });
+        EventLoop::waitFor([this] { return m_version == 4; });
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the record, the route and the limit", 3, m_rejected);
+        writeConfiguration(5);
+        EventLoop::waitFor([this] { return m_version == 5; });
+    }
+
+    void instance_oddEntriesAmongOthers_followingGoesOn()
+    {
+        writeOdd("keyed.instances");
+        m_client->start();
+        EventLoop::waitFor([this] { return m_rejected == kOddRecords; });
+        writeOdd("keyed.instances");
+        m_client->registerInstance({ InstanceName("front-1"), ZoneName("zone"), "127.0.0.1", 7720 });
+        EventLoop::waitFor([this] { return m_instances == 1; });
+        CPPUNIT_ASSERT_EQUAL(0, m_lost);
+    }
+
+    void crash_oddEntriesAmongOthers_followingGoesOn()
+    {
+        writeOdd("keyed.crashes");
+        m_client->watchTargets(true);
+        EventLoop::waitFor([this] { return m_rejected == kOddRecords; });
+        writeOdd("keyed.crashes");
+        m_client->publishCrash({ { TargetName("i-1"), 1 }, {} });
+        EventLoop::waitFor([this] { return m_crashes.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(0, m_lost);
+    }
+
+    void membership_oddRows_skippedAndCounted()
+    {
+        m_stand->groupAnswer =
+            R"({"generation":7,"parts":[["zone.zone",3,0],7,[],["zone.zone","x",0],["zone.zone",-1,0],
+            ["zone.zone",16,0],["zone.zone",1e300,0],["zone.zone",0.5,0],["zone.other",4,0],[["zone.zone"],4,0],
+            null,{},"x",true,["zone.zone",3,0],["zone.zone"]]})";
+        const auto answer = renew();
+        const auto &membership = std::get<MembershipAnswer>(answer);
+        CPPUNIT_ASSERT((membership.shards == std::set<ShardNumber> { 3 }));
+        CPPUNIT_ASSERT_MESSAGE("only shards of the zone count", !membership.isSoleOwner);
+        CPPUNIT_ASSERT_EQUAL(14, m_rejected);
+    }
+
     void targetList_readForPeer_onlyItsZone()
     {
         m_stand->write("keyed.servers", { "i-1", targetEntry("other") });
@@ -331,10 +399,26 @@
         m_stand->write("keyed.op", { "config", value });
     }
 
+    static QByteArray deeplyNested()
+    {
+        constexpr int kDepth = 20000;
+        return QByteArray("{\"a\":").repeated(kDepth) + "1" + QByteArray("}").repeated(kDepth);
+    }
+
+    static constexpr int kOddRecords = 4;
+
+    void writeOdd(const std::string &topic)
+    {
+        m_stand->write(topic, { "1/odd-1", deeplyNested() });
+        m_stand->write(topic, { "1/odd-2", QByteArray("\xff\x00 not JSON", 11) });
+        m_stand->write(topic, { "1/odd-3", R"({"zone":"zone","port":70000,"addr":"127.0.0.1:70000","tasks":7})" });
+        m_stand->write(topic, { "1/odd-4", R"({"zone":"zone","capacity":{"cpu":1e300},"tasks":[[1e300]]})" });
+    }
+
     static QByteArray targetEntry(const QByteArray &zone = "zone")
     {
         return R"({"service":"s","addr":"127.0.0.1:1","zone":")" + zone + R"(","state":"ready",
-            "capacity":{"cpu":1000,"mem-mb":64},"labels":[]})";
+            "capacity":{"cpu":1000,"mem-mb":64},"labels":[],"born":1700000000123})";
     }
 
     Result<MembershipAnswer> renew()
--- a/unittests/Support/LineWriterTest.cpp
+++ b/unittests/Support/LineWriterTest.cpp
@@ -17,6 +17,7 @@
 {
     CPPUNIT_TEST_SUITE(LineWriterTest);
     CPPUNIT_TEST(write_fields_oneLineEscaped);
+    CPPUNIT_TEST(write_fieldNotUtf8_lineStaysReadable);
     CPPUNIT_TEST(write_nobodyReads_neverBlocksAndCountsDropped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -48,6 +49,15 @@
         CPPUNIT_ASSERT_MESSAGE(line, line.find(expected) != std::string::npos);
     }
 
+    void write_fieldNotUtf8_lineStaysReadable()
+    {
+        LineWriter writer(m_write, "process");
+        writer.write("info", "message", { { "peer", "a\xff\xc3\xbc\xe2\x82" } });
+        writer.flush();
+        const std::string line = readAll();
+        CPPUNIT_ASSERT_MESSAGE(line, line.find("\"a\\ufffd\xc3\xbc\\ufffd\\ufffd\"") != std::string::npos);
+    }
+
     void write_nobodyReads_neverBlocksAndCountsDropped()
     {
         LineWriter writer(m_write, "process");
