--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -72,20 +72,25 @@
             writer.close()
 
 
+async def _exchange_on(reader, writer, method, path, headers, body):
+    """One exchange on an open connection. Returns (status, headers, body), or None if there was no whole answer."""
+    lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+    head = await read_head(reader)
+    if head is None:
+        return None
+    first, answer_headers = head
+    content = await reader.readexactly(int(answer_headers.get("content-length", "0")))
+    return int(first.split(" ")[1]), answer_headers, content
+
+
 async def exchange(port, method, path, headers, body=b""):
-    """One exchange on a connection of its own. Returns (status, headers, body), or None if there was no whole answer."""
+    """One exchange on a connection of its own."""
     writer = None
     try:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(body)}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-        head = await read_head(reader)
-        if head is None:
-            return None
-        first, answer_headers = head
-        content = await reader.readexactly(int(answer_headers.get("content-length", "0")))
-        return int(first.split(" ")[1]), answer_headers, content
+        return await _exchange_on(reader, writer, method, path, headers, body)
     except (ConnectionError, asyncio.IncompleteReadError, OSError):
         return None
     finally:
@@ -93,6 +98,43 @@
             writer.transport.abort()
 
 
+class KeptConnections:
+    """Clients' connections to one port. Each is used for one exchange after the other until the other side closes it."""
+
+    def __init__(self, port):
+        self._port = port
+        self._idle = []
+
+    def close(self):
+        for _, writer in self._idle:
+            writer.transport.abort()
+        self._idle.clear()
+
+    async def _take(self):
+        while self._idle:
+            reader, writer = self._idle.pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer
+            writer.transport.abort()
+        return await asyncio.open_connection("127.0.0.1", self._port)
+
+    async def exchange(self, method, path, headers, body=b""):
+        """Returns (status, headers, body), or None if there was no whole answer; the connection is closed then."""
+        writer, answer = None, None
+        try:
+            reader, writer = await self._take()
+            answer = await _exchange_on(reader, writer, method, path, headers, body)
+            if answer and answer[1].get("connection", "").lower() != "close":
+                self._idle.append((reader, writer))
+                writer = None
+            return answer
+        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+            return None
+        finally:
+            if writer:
+                writer.transport.abort()
+
+
 @dataclasses.dataclass
 class Faults:
     """Faults of one direction of a link."""
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -15,7 +15,7 @@
 from .checks import CONTACT_S, LATE_ANSWER_S, Checks, Job
 from .store import Store, entry
 from .targets import Target
-from .wire import Link, Server, exchange
+from .wire import KeptConnections, Link, Server, exchange
 
 ZONES = ("north", "middle", "south")
 RESEND_S = 1.3
@@ -111,6 +111,7 @@
         self._rate = rate
         self.targets = {}
         self.links = {}  # (instance, kind, name): Link; kind is "store", "peer", "target" or "caller".
+        self.callers = {}  # Instance: connections of its callers.
         self._tasks = set()
         self.version = 0
         self.versions = []  # (version, accepted at)
@@ -139,6 +140,7 @@
             server = await Server(self.store.handler(it.name)).start()
             await self._add_link(it, "store", "store", server.port)
             await self._add_link(it, "caller", "caller", it.front_port)
+            self.callers[it.name] = KeptConnections(self.links[it.name, "caller", "caller"].port)
             for peer in self.instances:
                 if peer is not it:
                     await self._add_link(it, "peer", peer.name, peer.peer_port)
@@ -310,14 +312,13 @@
     async def _attempt(self, job, deadline_ms, give_up_s):
         """Returns status and state; status 0 if no whole answer came."""
         instance = self._choose()
-        port = self.links[instance.name, "caller", "caller"].port
         body = json.dumps({"spec": job.spec, "best-effort": True, "steps": [
             {"count": job.tasks, "cpu": job.cpu, "mem-mb": 64, "est-ms": int(job.work_s * 1000)}]}).encode()
         headers = {"Host": HOST, "Content-Type": "application/json", "Deadline-Ms": str(deadline_ms),
                    "Request-Id": f"q{job.id}"}
         began, process = time.monotonic(), instance.process
         bound = give_up_s or deadline_ms / 1000 + LATE_ANSWER_S
-        answer = await _bounded(exchange(port, "POST", f"{PREFIX}{job.priority}/{job.id}", headers, body), bound)
+        answer = await _bounded(self.callers[instance.name].exchange("POST", f"{PREFIX}{job.priority}/{job.id}", headers, body), bound)
         stopping_late = began > instance.stop_began + STOP_TAKES_S
         calm = not stopping_late and process is instance.process and instance.is_calm(time.monotonic() - began + 1) and not give_up_s
         if answer is None and calm and self.checks.is_calm(time.monotonic() - began + 1):
@@ -340,6 +341,8 @@
                 it.process.wait()
         for it in list(self._tasks):
             it.cancel()
+        for it in self.callers.values():
+            it.close()
         self.logs_kept = {it.name: it.log_path.read_text(encoding="utf-8", errors="replace").splitlines()
                           for it in self.instances if it.log_path.exists()}
         self._directory.cleanup()
