Platform: the evacuation of a zone whose name is no text is skipped; fakes of one instance shared by its tests

Callers would have seen 502 for all jobs between instances: statuses name the evacuated zones, and a peer drops the connection over a message whose texts are no valid UTF-8. StoreClientTest::evacuation_oddZone_rejected; integration.odd_entries writes such keys beside the operator's records.

--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -134,6 +134,10 @@
             if not is_sound:
                 world.store.write(OPERATOR_TOPIC, "config", value)
                 await asyncio.sleep(PAUSE_S)
+        for key in KEYS + ["evacuate/a\r\nX: y", "evacuate/" + "x" * 240]:
+            for value in (b"\xff", b"{}", None):
+                world.store.write(OPERATOR_TOPIC, key, value)
+                await asyncio.sleep(PAUSE_S)
         odd_route = {"name": "odd", "host": "odd.example", "path-prefix": "/odd/", "service": "desk", "priority": 0,
                      "attempts": 2, "stretch": 1.6, "target-latency-ms": 60, "timeout-ms": 10000}
         for i, route in enumerate(route_changes(odd_route)):
--- a/unittests/Node/DispatchNodeTest.cpp
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -224,22 +224,8 @@
 private:
     void waitUntilReady()
     {
-        FleetConfiguration configuration;
-        configuration.version = ConfigVersion(1);
-        FleetRoute route;
-        route.name = RouteName("route");
-        route.host = "host";
-        route.pathPrefix = "/jobs/";
-        route.service = ServiceName("service");
-        route.timeout = std::chrono::seconds(20);
-        route.stretch = 1000;
-        configuration.routes.push_back(route);
-        m_node->storeEvents().configurationReceived(configuration);
-        DispatchTarget target;
-        target.name = TargetName("target");
-        target.service = ServiceName("service");
-        target.zone = ZoneName("zone");
-        target.capacity = { 4000, 4000, 0 };
+        m_node->storeEvents().configurationReceived(singleRoute());
+        const DispatchTarget target = singleTarget();
         EventLoop::waitFor([&] {
             m_node->storeEvents().targetUpdated(target, ++m_listVersion);
             if (!m_targets.inspections.empty() && !m_reported) {
@@ -257,17 +243,8 @@
 
     void submitAs(std::uint64_t caller, const std::string &host, const std::string &id)
     {
-        JobRequest job;
-        job.payload = "payload";
-        JobStep step;
-        step.demand = { 1000, 10, 0 };
-        step.estimate = std::chrono::milliseconds(100);
-        job.steps.push_back(step);
-        CallerRequest request;
-        request.caller = CallerId(caller);
+        CallerRequest request = submission(caller, id, 1000);
         request.host = host;
-        request.path = "/jobs/" + id;
-        request.job = job;
         m_node->callerEvents().requestReceived(request);
     }
 
--- a/unittests/Node/NodeFakes.h
+++ b/unittests/Node/NodeFakes.h
@@ -131,4 +131,48 @@
     TargetTime::rep clock = 0;
 };
 
+/// A configuration with one route, on which no job is ever too late.
+inline FleetConfiguration singleRoute()
+{
+    FleetConfiguration configuration;
+    configuration.version = ConfigVersion(1);
+    FleetRoute route;
+    route.name = RouteName("route");
+    route.host = "host";
+    route.pathPrefix = "/jobs/";
+    route.service = ServiceName("service");
+    route.timeout = std::chrono::seconds(20);
+    route.stretch = 1000;
+    configuration.routes.push_back(route);
+    return configuration;
+}
+
+/// A target of singleRoute()'s service.
+inline DispatchTarget singleTarget()
+{
+    DispatchTarget target;
+    target.name = TargetName("target");
+    target.service = ServiceName("service");
+    target.zone = ZoneName("zone");
+    target.capacity = { 4000, 4000, 0 };
+    return target;
+}
+
+/// A request that submits a job of one task.
+inline CallerRequest submission(std::uint64_t caller, const std::string &id, std::uint32_t milliCores)
+{
+    JobRequest job;
+    job.payload = "payload";
+    JobStep step;
+    step.demand = { milliCores, 10, 0 };
+    step.estimate = std::chrono::milliseconds(100);
+    job.steps.push_back(step);
+    CallerRequest request;
+    request.caller = CallerId(caller);
+    request.host = "host";
+    request.path = "/jobs/" + id;
+    request.job = job;
+    return request;
+}
+
 } // namespace Eelgrasscleat
--- a/unittests/Node/TargetListTest.cpp
+++ b/unittests/Node/TargetListTest.cpp
@@ -24,7 +24,7 @@
     void setUp() override
     {
         EventLoop::prepare();
-        m_listing = { kRelayedVersion, { makeTarget() } };
+        m_listing = { kRelayedVersion, { singleTarget() } };
         const InstanceRegistration owner { InstanceName("owner"), ZoneName("zone"), "127.0.0.1", 11873 };
         const InstanceRegistration peer { InstanceName("peer"), ZoneName("other"), "127.0.0.1", 11874 };
         startOwner(owner);
@@ -73,10 +73,10 @@
     {
         m_listing.targets[0].capacity.milliCores = 1000;
         relay();
-        m_owner->storeEvents().targetUpdated(makeTarget(), kRelayedVersion);
+        m_owner->storeEvents().targetUpdated(singleTarget(), kRelayedVersion);
         submit(1);
         CPPUNIT_ASSERT(m_targets.started.empty());
-        m_owner->storeEvents().targetUpdated(makeTarget(), kRelayedVersion + 1);
+        m_owner->storeEvents().targetUpdated(singleTarget(), kRelayedVersion + 1);
         EventLoop::waitFor([this, caller = std::uint64_t { 2 }]() mutable {
             submit(caller++);
             return !m_targets.started.empty();
@@ -86,16 +86,6 @@
 private:
     static constexpr std::uint64_t kRelayedVersion = 1000;
 
-    static DispatchTarget makeTarget()
-    {
-        DispatchTarget target;
-        target.name = TargetName("target");
-        target.service = ServiceName("service");
-        target.zone = ZoneName("zone");
-        target.capacity = { 4000, 4000, 0 };
-        return target;
-    }
-
     void startOwner(const InstanceRegistration &self)
     {
         NodeSettings settings;
@@ -105,17 +95,7 @@
         m_owner = std::make_unique<DispatchNode>(settings, m_targets, m_metrics, 1);
         m_targets.events = &m_owner->commandResultHandler();
         CPPUNIT_ASSERT(isOk(m_owner->start(m_callers, m_store)));
-        FleetConfiguration configuration;
-        configuration.version = ConfigVersion(1);
-        FleetRoute route;
-        route.name = RouteName("route");
-        route.host = "host";
-        route.pathPrefix = "/jobs/";
-        route.service = ServiceName("service");
-        route.timeout = std::chrono::seconds(20);
-        route.stretch = 1000;
-        configuration.routes.push_back(route);
-        m_owner->storeEvents().configurationReceived(configuration);
+        m_owner->storeEvents().configurationReceived(singleRoute());
     }
 
     /// Waits until the owner has inspected its target. From then on the store returns nothing to it.
@@ -123,7 +103,7 @@
     {
         bool isReported = false;
         EventLoop::waitFor([this, &isReported] {
-            m_owner->storeEvents().targetListReceived({ 1, { makeTarget() } });
+            m_owner->storeEvents().targetListReceived({ 1, { singleTarget() } });
             m_owner->storeEvents().targetListConfirmed();
             if (!m_targets.inspections.empty() && !isReported) {
                 isReported = true;
@@ -142,18 +122,7 @@
 
     void submit(std::uint64_t caller)
     {
-        JobRequest job;
-        job.payload = "payload";
-        JobStep step;
-        step.demand = { 2000, 10, 0 };
-        step.estimate = std::chrono::milliseconds(100);
-        job.steps.push_back(step);
-        CallerRequest request;
-        request.caller = CallerId(caller);
-        request.host = "host";
-        request.path = "/jobs/job" + std::to_string(caller);
-        request.job = job;
-        m_owner->callerEvents().requestReceived(request);
+        m_owner->callerEvents().requestReceived(submission(caller, "job" + std::to_string(caller), 2000));
     }
 
     Metrics m_metrics;
--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(evacuation_beforeStart_listed);
     CPPUNIT_TEST(evacuation_writtenAndDropped_reportedInOrder);
     CPPUNIT_TEST(evacuation_droppedWhileAway_listedAgain);
+    CPPUNIT_TEST(evacuation_oddZone_rejected);
     CPPUNIT_TEST(target_damagedEntry_rejectedOthersRead);
     CPPUNIT_TEST(target_otherZone_notReported);
     CPPUNIT_TEST(target_damagedLater_removed);
@@ -129,6 +130,19 @@
         EventLoop::waitFor([this] { return m_evacuated.zones.empty(); });
     }
 
+    void evacuation_oddZone_rejected()
+    {
+        for (const char *it : { "evacuate/", "evacuate/a\nb" }) {
+            m_stand->write("keyed.op", { it, "{}" });
+        }
+        m_client->start();
+        EventLoop::waitFor([this] { return m_rejected == 2; });
+        m_stand->write("keyed.op", { "evacuate/\xff", "{}" });
+        m_stand->write("keyed.op", { "evacuate/zone", "{}" });
+        EventLoop::waitFor([this] { return m_evacuated.zones.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(3, m_rejected);
+    }
+
     void target_damagedEntry_rejectedOthersRead()
     {
         m_stand->write("keyed.servers", { "i-1", QByteArray("\xff not JSON") });
