--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -104,8 +104,10 @@
     def __init__(self, port):
         self._port = port
         self._idle = []
+        self._closed = False
 
     def close(self):
+        self._closed = True
         for _, writer in self._idle:
             writer.transport.abort()
         self._idle.clear()
@@ -124,7 +126,7 @@
         try:
             reader, writer = await self._take()
             answer = await _exchange_on(reader, writer, method, path, headers, body)
-            if answer and answer[1].get("connection", "").lower() != "close":
+            if answer and not self._closed and answer[1].get("connection", "").lower() != "close":
                 self._idle.append((reader, writer))
                 writer = None
             return answer
