--- a/lib/Entry/OperatorServer.cpp
+++ b/lib/Entry/OperatorServer.cpp
@@ -2,6 +2,8 @@
 /// Routes of the operators' interface, on Qt's HTTP server.
 #include "OperatorServer.h"
 
+#include <eelgrasscleat/Wire/QtText.h>
+
 #include <QHostAddress>
 #include <QHttpServer>
 #include <QHttpServerResponse>
@@ -49,7 +51,7 @@
 Result<std::uint16_t> OperatorServer::listen()
 {
     const auto &listen = m_settings.listen();
-    const QHostAddress address(QString::fromStdString(listen.address()));
+    const QHostAddress address(toQString(listen.address()));
     const quint16 port = m_server->listen(address, static_cast<quint16>(listen.operator_port()));
     if (port == 0) {
         const std::string peer = listen.address() + ":" + std::to_string(listen.operator_port());
--- a/lib/Wire/HttpClient.cpp
+++ b/lib/Wire/HttpClient.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Pool of client connections to one address: Boost.Beast's response parser over Qt's sockets.
 #include <eelgrasscleat/Wire/HttpClient.h>
+#include <eelgrasscleat/Wire/QtText.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
@@ -230,7 +231,7 @@
 {
 public:
     Impl(const std::string &address, std::uint16_t port, std::size_t connections)
-        : m_address(QString::fromStdString(address))
+        : m_address(toQString(address))
         , m_port(port)
         , m_limit(connections)
     {
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Accepts connections, numbers requests and finds the connection of each answer.
 #include <eelgrasscleat/Wire/HttpServer.h>
+#include <eelgrasscleat/Wire/QtText.h>
 
 #include "HttpConnection.h"
 
@@ -48,7 +49,7 @@
 
     Result<std::uint16_t> listen(const std::string &address, std::uint16_t port)
     {
-        const QHostAddress host(QString::fromStdString(address));
+        const QHostAddress host(toQString(address));
         if (host.isNull() || !m_server.listen(host, port)) {
             const std::string reason = host.isNull() ? "not an IP number" : m_server.errorString().toStdString();
             return Error { ErrorCode::Unavailable, Step::Connect, address + ":" + std::to_string(port), reason };
--- a/lib/Wire/PeerNetwork.cpp
+++ b/lib/Wire/PeerNetwork.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Connections to and from all peers.
 #include <eelgrasscleat/Wire/PeerNetwork.h>
+#include <eelgrasscleat/Wire/QtText.h>
 
 #include "Http2Session.h"
 #include "MessageFramer.h"
@@ -124,7 +125,7 @@
             QMetaObject::invokeMethod(
                 &m_context, [this] { broke(); }, Qt::QueuedConnection);
         });
-        m_socket->connectToHost(QHostAddress(QString::fromStdString(m_endpoint.address)), m_endpoint.port);
+        m_socket->connectToHost(QHostAddress(toQString(m_endpoint.address)), m_endpoint.port);
         m_timer.start(m_timing.connect);
     }
 
@@ -271,7 +272,7 @@
 
     Result<std::uint16_t> start(const std::string &address, std::uint16_t port)
     {
-        if (!m_server.listen(QHostAddress(QString::fromStdString(address)), port)) {
+        if (!m_server.listen(QHostAddress(toQString(address)), port)) {
             const std::string peer = address + ":" + std::to_string(port);
             return Error { ErrorCode::Unavailable, Step::Connect, peer, m_server.errorString().toStdString() };
         }
