--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(target_otherZone_notReported);
     CPPUNIT_TEST(target_damagedLater_removed);
     CPPUNIT_TEST(target_zoneSpelledOtherwise_reported);
+    CPPUNIT_TEST(target_keyWithMarkEndsPage_laterPagesRead);
     CPPUNIT_TEST(target_oddEntriesAmongOthers_followingGoesOn);
     CPPUNIT_TEST(configuration_oddRouteAndOddRecord_followingGoesOn);
     CPPUNIT_TEST(instance_oddEntriesAmongOthers_followingGoesOn);
@@ -196,6 +197,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, m_listed.size());
     }
 
+    /// Guards against a listing that goes round in circles when a page ends with a key that begins with a byte order
+    /// mark.
+    void target_keyWithMarkEndsPage_laterPagesRead()
+    {
+        const std::string mark = "\xef\xbb\xbf";
+        for (const std::string &it : { std::string("i-2"), mark + "i-1", mark + "i-3" }) {
+            m_stand->write("keyed.servers", { it, targetEntry() });
+        }
+        m_stand->itemsOfPage = 1;
+        m_client->watchTargets(true);
+        EventLoop::waitFor([this] { return !m_listed.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, m_listed.size());
+        CPPUNIT_ASSERT_EQUAL(mark + "i-3", m_listed.back().name.value);
+    }
+
     void target_oddEntriesAmongOthers_followingGoesOn()
     {
         writeOdd("keyed.servers");
--- a/unittests/PlatformAdapter/StoreStandIn.cpp
+++ b/unittests/PlatformAdapter/StoreStandIn.cpp
@@ -2,6 +2,8 @@
 /// The stand-in's topics.
 #include "StoreStandIn.h"
 
+#include <eelgrasscleat/Wire/QtText.h>
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -62,18 +64,19 @@
     m_server.respond(id, { 200, body.toStdString(), "application/octet-stream", 0 });
 }
 
-void StoreStandIn::answerNewest(CallerId id, const std::string &topic)
+void StoreStandIn::answerNewest(CallerId id, const std::string &topic, const std::string &after)
 {
     ++lists;
     const Topic &entry = m_topics[topic];
     QJsonArray items;
-    for (const auto &it : entry.newest) {
-        items.append(QJsonObject { { QStringLiteral("key"), QString::fromStdString(it.first) },
-                                   { QStringLiteral("value"), QString::fromLatin1(it.second.toBase64()) },
+    auto it = after.empty() ? entry.newest.begin() : entry.newest.upper_bound(after);
+    for (std::size_t n = 0; it != entry.newest.end() && n < itemsOfPage; ++it, ++n) {
+        items.append(QJsonObject { { QStringLiteral("key"), toQString(it->first) },
+                                   { QStringLiteral("value"), QString::fromLatin1(it->second.toBase64()) },
                                    { QStringLiteral("offset"), 0 } });
     }
     const QJsonObject body { { QStringLiteral("items"), items },
-                             { QStringLiteral("truncated"), false },
+                             { QStringLiteral("truncated"), it != entry.newest.end() },
                              { QStringLiteral("end"), static_cast<qint64>(entry.first + entry.records.size()) } };
     m_server.respond(id, { 200, QJsonDocument(body).toJson().toStdString(), "application/json", 0 });
 }
@@ -93,7 +96,14 @@
     if (url.path() == QStringLiteral("/-/log-read")) {
         answerRead(request.id, topic, query.queryItemValue(QStringLiteral("from")).toULongLong());
     } else if (url.path() == QStringLiteral("/-/log-newest")) {
-        answerNewest(request.id, topic);
+        // From the raw request: QUrl would change a key on the way.
+        const auto after = request.target.find("&after=");
+        answerNewest(request.id,
+                     topic,
+                     after == std::string::npos
+                         ? std::string()
+                         : QByteArray::fromPercentEncoding(QByteArray::fromStdString(request.target.substr(after + 7)))
+                               .toStdString());
     } else if (url.path() == QStringLiteral("/-/log-append")) {
         const auto page = decodeRecords(QByteArray(16, '\0') + QByteArray::fromStdString(request.body), 0);
         for (const KeyedRecord &it : std::get<RecordPage>(page).records) {
--- a/unittests/PlatformAdapter/StoreStandIn.h
+++ b/unittests/PlatformAdapter/StoreStandIn.h
@@ -25,6 +25,7 @@
     std::string groupAnswer = R"({"generation":1,"ttl-ms":1200,"parts":[]})";
     std::vector<std::string> groupCalls; ///< Bodies.
     int lists = 0;
+    std::size_t itemsOfPage = 500; ///< Most items that a page of a listing has.
 
     void write(const std::string &topic, const KeyedRecord &record);
     /// Drops the records of a topic, but not the newest of each key.
@@ -49,7 +50,7 @@
     };
 
     void answerRead(CallerId id, const std::string &topic, std::uint64_t from);
-    void answerNewest(CallerId id, const std::string &topic);
+    void answerNewest(CallerId id, const std::string &topic, const std::string &after);
 
     HttpServer m_server;
     std::map<std::string, Topic> m_topics;
