Entry: a path that is no UTF-8 is refused, and names no other submission

What callers saw: GET or DELETE of the submission "%FF" acted on the customer's submission whose key is U+FFFD: the DELETE was answered 409, for that one, where the path names none. A customer's own submissions only, as the key is checked.

Such a path is now answered 400 (invalid_path), the raw one and the decoded one checked alike. A byte order mark before the whole path can't be lost any more either.

Test: test_path_that_is_no_utf8_names_no_other_submission (integration.bad_input) got 409 before. All of integration.bad_input passes. Left as they are: the names of threads and of the product's own streams, which are constants, and the stand-ins' own errors.

--- a/lib/Entry/CallerServer.cpp
+++ b/lib/Entry/CallerServer.cpp
@@ -6,6 +6,7 @@
 
 #include <eelgrasscleat/Support/Schema.h>
 #include <eelgrasscleat/Wire/JsonCodec.h>
+#include <eelgrasscleat/Wire/QtText.h>
 
 #include <QUrl>
 #include <QUrlQuery>
@@ -30,10 +31,20 @@
     bool isKnown = false; ///< Whether the path belongs to the callers' interface.
 };
 
+/// QUrl replaces bytes that are no valid UTF-8, which would turn one name into another.
+/// @returns whether @p target is valid UTF-8, as it stands and with its percent signs decoded.
+static bool isUtf8Path(const std::string &target)
+{
+    const QByteArray encoded = QByteArray::fromStdString(target);
+    const QByteArray decoded = QByteArray::fromPercentEncoding(encoded);
+    return QByteArrayView(encoded).isValidUtf8() && QByteArrayView(decoded).isValidUtf8();
+}
+
+/// @param target valid UTF-8, also after its percent signs are decoded
 static CallerPath parsePath(const std::string &target)
 {
     CallerPath path;
-    const QUrl url(QString::fromStdString(target));
+    const QUrl url(toQString(target));
     const QStringList segments = url.path(QUrl::FullyDecoded).split(QLatin1Char('/'), Qt::SkipEmptyParts);
     const QUrlQuery query(url);
     path.wait = query.queryItemValue(QStringLiteral("wait")) != QLatin1String("0");
@@ -138,6 +149,10 @@
 
 void CallerServer::requestReceived(HttpRequest request)
 {
+    if (!isUtf8Path(request.target)) {
+        respondError(request.id, 400, "invalid_path", "expected UTF-8");
+        return;
+    }
     const CallerPath path = parsePath(request.target);
     if (!path.isKnown) {
         respondError(request.id, 404, "not_found", "see docs/operators/callers.md for the paths");
--- a/test/test_bad_input.py
+++ b/test/test_bad_input.py
@@ -129,6 +129,15 @@
             answer = caller.call(self.port, method, path, key=SECRET)
             self.assertEqual((answer.status, answer.json()["error"]), (status, error), path)
 
+    def test_path_that_is_no_utf8_names_no_other_submission(self):
+        body = job("\ufffd", tasks=1, run_ms=500, ticket=ticket(self.entry))
+        caller.post(self.port, SUBMISSIONS + "?wait=0", body, key=SECRET)
+        for method, path in (("DELETE", "/%FF"), ("GET", "/%ED%A0%80"), ("GET", "/%C3?wait=0")):
+            answer = caller.call(self.port, method, SUBMISSIONS + path, key=SECRET)
+            self.assertEqual((answer.status, answer.json().get("error")), (400, "invalid_path"), (path, answer.body))
+        own = caller.get(self.port, SUBMISSIONS + "/%EF%BF%BD", key=SECRET)
+        self.assertEqual(own.json()["status"], "ANSWER_STATUS_COMPLETE", own.body)
+
     def test_caller_that_hangs_up_leaves_the_others_their_answers(self):
         bodies = [job(next(keys), tasks=2, run_ms=300, ticket=ticket(self.entry)) for _ in range(10)]
         answers = {}
