Refusals that are final for a job tell no time to come back

What callers saw: a job that needs what the system doesn't implement got 503 with Retry-After: 2, and would have been refused each time.

Cause: the home's refusals carried the same delay whatever their reason. Unknown routes, unsupported and malformed jobs have none now; all others keep theirs.

--- a/include/eelgrasscleat/Dispatch/JobTypes.h
+++ b/include/eelgrasscleat/Dispatch/JobTypes.h
@@ -117,6 +117,10 @@
 /// @returns the name of @p reason used in logs and metrics.
 std::string_view jobEndReasonName(JobEndReason reason);
 
+/// @returns whether a job that is refused for @p reason may be accepted later. Otherwise a retry is pointless while the
+/// configuration stays as it is.
+bool mayBeAcceptedLater(JobEndReason reason);
+
 /// Final result of a job, reported to its submitter.
 struct JobEnd
 {
@@ -124,7 +128,7 @@
     std::uint64_t ticket = 0; ///< Distinguishes submissions of the same job; chosen by the submitter.
     JobOutcome outcome = JobOutcome::Refused;
     JobEndReason reason = JobEndReason::None;
-    Duration retryAfter {}; ///< If refused: delay after which a retry is likely to succeed.
+    Duration retryAfter {}; ///< If refused and mayBeAcceptedLater(): delay after which a retry is likely to succeed.
     /// If refused because of JobRequest::onlyInTime: time until the expected end if the dispatcher is asked again
     /// without it; zero if the result would be of no use.
     Duration lateEnd {};
--- a/lib/Dispatch/JobTypes.cpp
+++ b/lib/Dispatch/JobTypes.cpp
@@ -63,6 +63,12 @@
     return nameAt(kJobEndReasonNames, static_cast<std::size_t>(reason));
 }
 
+bool mayBeAcceptedLater(JobEndReason reason)
+{
+    return reason != JobEndReason::UnknownRoute && reason != JobEndReason::Unsupported
+        && reason != JobEndReason::Malformed;
+}
+
 std::string_view runEndKindName(RunEndKind kind)
 {
     return nameAt(kRunEndKindNames, static_cast<std::size_t>(kind));
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -87,7 +87,9 @@
     end.id = id;
     end.outcome = JobOutcome::Refused;
     end.reason = reason;
-    end.retryAfter = m_settings.router.takeover.takeoverTime;
+    if (mayBeAcceptedLater(reason)) {
+        end.retryAfter = m_settings.router.takeover.takeoverTime;
+    }
     m_log.jobAnswered(end, RouteName(), request.requestId, Duration::zero(), m_now);
     m_callers->answerEnd(request.caller, end);
 }
--- a/unittests/PlatformAdapter/JobFieldsTest.cpp
+++ b/unittests/PlatformAdapter/JobFieldsTest.cpp
@@ -1,5 +1,6 @@
 /// @file
 /// Fields of callers' jobs: each that changes what the job means is honoured, or the job is refused with its name.
+#include "CallerEndpoint.h"
 #include "Records.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,6 +19,7 @@
     CPPUNIT_TEST(job_unsupportedFieldUnused_accepted);
     CPPUNIT_TEST(job_unsupportedFieldOfOtherType_malformed);
     CPPUNIT_TEST(job_hints_accepted);
+    CPPUNIT_TEST(refusal_permanent_hasNoRetryAfter);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -76,6 +78,18 @@
         CPPUNIT_ASSERT(isOk(decodeJob(ofStep("image", "\"proof:7\""))));
     }
 
+    /// Guards against a caller who is told to come back with a job that is never served.
+    void refusal_permanent_hasNoRetryAfter()
+    {
+        JobEnd end;
+        end.outcome = JobOutcome::Refused;
+        end.reason = JobEndReason::Unsupported;
+        end.retryAfter = std::chrono::milliseconds(1200);
+        const HttpResponse response = encodeEnd(end);
+        CPPUNIT_ASSERT_EQUAL(503U, response.status);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 0 }, response.retryAfterSeconds);
+    }
+
 private:
     static QByteArray ofJob(const std::string &name, const std::string &value)
     {
