Jobs of routes that need start tickets are refused

What callers would see: on a queue with `advice` targets accept starts only with a ticket (409 otherwise). The field was passed over, so the system would have sent starts without one until each job's deadline.

The route says so now (needsStartTickets), also in the configuration that peers pass on, and its jobs are refused at once as unsupported. The refusal is logged with its detail; so is that of a job that would have to be stored, which had only its reason.

Ruled out: refusing the route as unreadable, which would answer 404 for a queue that exists.

Test: job_routeNeedsStartTickets_refusedAsUnsupported, configuration_routeWithAdvice_needsTickets and the like; the field is new, so they don't build on the code before. configuration_writtenAndRead_isEqual and job_textsWithMarkOrNul_readByteForByte hold the messages between instances.

--- a/include/eelgrasscleat/Dispatch/FleetView.h
+++ b/include/eelgrasscleat/Dispatch/FleetView.h
@@ -27,6 +27,8 @@
     double stretch = 1; ///< See JobRequest::stretch.
     Duration latencyTarget {};
     Duration timeout {}; ///< Deadline of requests that specify none, relative to their arrival.
+    /// Targets accept starts only with a ticket of an external policy service, which isn't supported.
+    bool needsStartTickets = false;
 };
 
 /// A version of the configuration.
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -114,7 +114,10 @@
         refuse(request, id, unsupported ? JobEndReason::Unsupported : JobEndReason::Malformed);
         return;
     }
-    if (request.mustBeStored) {
+    if (request.mustBeStored || route->needsStartTickets) {
+        const char *detail = request.mustBeStored ? "storing jobs not supported" : "start tickets not supported";
+        m_log.recordEvent("request rejected",
+                          { { "job", id.value }, { "request", request.requestId }, { "detail", detail } });
         refuse(request, id, JobEndReason::Unsupported);
         return;
     }
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -204,6 +204,7 @@
         route.set_stretch(it.stretch);
         route.set_latency_target_us(toMicroseconds(it.latencyTarget));
         route.set_timeout_us(toMicroseconds(it.timeout));
+        route.set_needs_start_tickets(it.needsStartTickets);
     }
 }
 
@@ -225,6 +226,7 @@
         route.stretch = it.stretch();
         route.latencyTarget = toDuration(it.latency_target_us());
         route.timeout = toDuration(it.timeout_us());
+        route.needsStartTickets = it.needs_start_tickets();
         configuration.routes.push_back(std::move(route));
     }
     return configuration;
--- a/unittests/Node/DispatchNodeTest.cpp
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(job_beforeConfigurationCallerGone_notRun);
     CPPUNIT_TEST(job_unknownRoute_refusedWithReason);
     CPPUNIT_TEST(job_oddId_refusedAsMalformed);
+    CPPUNIT_TEST(job_routeNeedsStartTickets_refusedAsUnsupported);
     CPPUNIT_TEST(request_beforeConfiguration_refusedWithNoConfiguration);
     CPPUNIT_TEST(evacuation_ownZone_jobsRefusedAndStartsEnd);
     CPPUNIT_TEST(evacuation_takenBack_jobsServedAgain);
@@ -119,6 +120,21 @@
         CPPUNIT_ASSERT(m_targets.started.empty());
     }
 
+    /// Guards against starts that targets turn down for want of a ticket until the job's deadline.
+    void job_routeNeedsStartTickets_refusedAsUnsupported()
+    {
+        waitUntilReady();
+        FleetConfiguration configuration = singleRoute();
+        configuration.version = ConfigVersion(2);
+        configuration.routes[0].needsStartTickets = true;
+        m_node->storeEvents().configurationReceived(configuration);
+        submitAs(1, "host", "job");
+        CPPUNIT_ASSERT(m_callers.ends.at(1).outcome == JobOutcome::Refused);
+        CPPUNIT_ASSERT(m_callers.ends.at(1).reason == JobEndReason::Unsupported);
+        CPPUNIT_ASSERT(m_callers.ends.at(1).retryAfter == Duration::zero());
+        CPPUNIT_ASSERT(m_targets.started.empty());
+    }
+
     void request_beforeConfiguration_refusedWithNoConfiguration()
     {
         std::uint64_t caller = 0;
--- a/unittests/Node/PeerMessagesTest.cpp
+++ b/unittests/Node/PeerMessagesTest.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST_SUITE(PeerMessagesTest);
     CPPUNIT_TEST(end_targetsCrashed_readByThisVersionAndEarlierOnes);
     CPPUNIT_TEST(end_refusedAsLate_offerReadByThisVersion);
+    CPPUNIT_TEST(configuration_writtenAndRead_isEqual);
+    CPPUNIT_TEST(job_textsWithMarkOrNul_readByteForByte);
     CPPUNIT_TEST(listing_writtenAndRead_isEqual);
     CPPUNIT_TEST(listing_unavailableOrOfOtherZone_isNothing);
     CPPUNIT_TEST_SUITE_END();
@@ -45,6 +47,70 @@
         CPPUNIT_ASSERT_MESSAGE("earlier versions make no offer", readEnd(message)->lateEnd == Duration::zero());
     }
 
+    void configuration_writtenAndRead_isEqual()
+    {
+        FleetConfiguration configuration;
+        configuration.version = ConfigVersion(7);
+        configuration.headerBytes = 1;
+        configuration.bodyBytes = 2;
+        configuration.idleTimeout = std::chrono::seconds(3);
+        configuration.routes.push_back({ RouteName("route"),
+                                         "host",
+                                         "/jobs/",
+                                         ServiceName("service"),
+                                         4,
+                                         5,
+                                         1.5,
+                                         std::chrono::milliseconds(60),
+                                         std::chrono::seconds(6),
+                                         true });
+        schema::FleetConfig message;
+        writeConfiguration(configuration, message);
+        const FleetConfiguration read = readConfiguration(message);
+        CPPUNIT_ASSERT(read.version == configuration.version);
+        CPPUNIT_ASSERT_EQUAL(configuration.headerBytes, read.headerBytes);
+        CPPUNIT_ASSERT_EQUAL(configuration.bodyBytes, read.bodyBytes);
+        CPPUNIT_ASSERT(read.idleTimeout == configuration.idleTimeout);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, read.routes.size());
+        const FleetRoute &written = configuration.routes[0];
+        const FleetRoute &route = read.routes[0];
+        CPPUNIT_ASSERT(route.name == written.name && route.host == written.host);
+        CPPUNIT_ASSERT(route.pathPrefix == written.pathPrefix && route.service == written.service);
+        CPPUNIT_ASSERT(route.priority == written.priority && route.attempts == written.attempts);
+        CPPUNIT_ASSERT(route.stretch == written.stretch && route.latencyTarget == written.latencyTarget);
+        CPPUNIT_ASSERT(route.timeout == written.timeout);
+        CPPUNIT_ASSERT(route.needsStartTickets);
+    }
+
+    /// Guards against a payload that changes on its way from the home to the dispatcher.
+    void job_textsWithMarkOrNul_readByteForByte()
+    {
+        const Instant now(std::chrono::seconds(10));
+        for (const std::string &it :
+             { std::string("\xef\xbb\xbfx"), std::string("a\0b", 3), std::string("\xf0\x9f\x98\x80") }) {
+            JobRequest request;
+            request.id = JobId(it);
+            request.payload = it;
+            request.submitted = now;
+            request.deadline = now;
+            JobStep step;
+            step.tasks = 1;
+            step.requiredLabel = it;
+            step.preferredRack = it;
+            request.steps.push_back(step);
+            schema::DispatchJob message;
+            writeJob(request, 1, now, message);
+            schema::DispatchJob received;
+            CPPUNIT_ASSERT(received.ParseFromString(message.SerializeAsString()));
+            const auto read = readJob(received, now);
+            CPPUNIT_ASSERT(read.has_value());
+            CPPUNIT_ASSERT_EQUAL(it, read->payload);
+            CPPUNIT_ASSERT_EQUAL(it, read->id.value);
+            CPPUNIT_ASSERT_EQUAL(it, read->steps[0].requiredLabel);
+            CPPUNIT_ASSERT_EQUAL(it, read->steps[0].preferredRack);
+        }
+    }
+
     void listing_writtenAndRead_isEqual()
     {
         schema::ZoneTargets message;
--- a/unittests/PlatformAdapter/JobFieldsTest.cpp
+++ b/unittests/PlatformAdapter/JobFieldsTest.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(job_unsupportedFieldUnused_accepted);
     CPPUNIT_TEST(job_unsupportedFieldOfOtherType_malformed);
     CPPUNIT_TEST(job_hints_accepted);
+    CPPUNIT_TEST(configuration_routeWithAdvice_needsTickets);
+    CPPUNIT_TEST(configuration_routeWithoutAdvice_needsNoTickets);
     CPPUNIT_TEST(refusal_permanent_hasNoRetryAfter);
     CPPUNIT_TEST_SUITE_END();
 
@@ -78,6 +80,18 @@
         CPPUNIT_ASSERT(isOk(decodeJob(ofStep("image", "\"proof:7\""))));
     }
 
+    void configuration_routeWithAdvice_needsTickets()
+    {
+        CPPUNIT_ASSERT(routeWith(R"(,"advice":{"decide-ms":20,"each-ms":1,"valid-ms":3000})").needsStartTickets);
+    }
+
+    void configuration_routeWithoutAdvice_needsNoTickets()
+    {
+        for (const char *it : { "", R"(,"advice":null)", R"(,"advice":{})" }) {
+            CPPUNIT_ASSERT_MESSAGE(it, !routeWith(it).needsStartTickets);
+        }
+    }
+
     /// Guards against a caller who is told to come back with a job that is never served.
     void refusal_permanent_hasNoRetryAfter()
     {
@@ -123,6 +137,14 @@
         }
     }
 
+    static FleetRoute routeWith(const std::string &fields)
+    {
+        const auto read = decodeConfiguration(QByteArray::fromStdString(
+            R"({"version":3,"limits":{},"routes":[{"name":"r","host":"h","path-prefix":"/a/","service":"s")" + fields
+            + "}]}"));
+        return std::get<ConfigurationRecord>(read).configuration.routes.at(0);
+    }
+
     const std::vector<std::string> kFlags = { "gang", "long-running", "fills" };
     const std::vector<std::string> kNumbers = { "repeats", "first-ms", "interval-ms", "target-ms", "may-miss" };
 };
