Soak: payloads that a conversion may change, and jobs with a schedule

Four of five payloads have a byte order mark, NUL or characters of several lengths, as themselves or escaped by turns, and one job of forty has a schedule, which must be refused.

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -30,6 +30,7 @@
     begun: set = dataclasses.field(default_factory=set)
     done: set = dataclasses.field(default_factory=set)
     failures: dict = dataclasses.field(default_factory=dict)
+    schedule: dict = dataclasses.field(default_factory=dict)  # Fields of a schedule, for which jobs are refused.
     crashing_task: str = ""  # Crashes each target that starts it.
     targets_lost: dict = dataclasses.field(default_factory=dict)  # Task: crashes of targets on which it was at work.
     starts_beyond: int = 0  # Starts of the crashing task after three crashes.
@@ -71,6 +72,8 @@
         if job is None or job.spec != spec or int(task.split(".")[3]) >= job.tasks:
             self.breach("nothing unasked is started", f"{task} on {target.name}")
             return None
+        if job.schedule:
+            self.breach("a job with a schedule is refused", f"{task} starts on {target.name}")
         if job.refused:
             self.breach("a refusal is true", f"{task} starts on {target.name}, and its job was refused as not run")
         since = target.draining_since
@@ -127,6 +130,8 @@
         job.open_attempts -= 1
         name = f"{status} {state}".strip() if status else "no answer"
         self.answers[name] = self.answers.get(name, 0) + 1
+        if job.schedule and status == 200:
+            self.breach("a job with a schedule is refused", f"{job.id}: {name}")
         if status in (429, 503) and was_only and job.open_attempts == 0:
             job.refused = True
             if job.begun:
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -30,6 +30,10 @@
 STALL_LOOK_S = 0.05
 # An instance that is being stopped takes requests for at least this long, until the balancer has noticed.
 STOP_TAKES_S = 1.0
+# Payloads that a conversion may change. JSON has each character as itself and escaped, by turns.
+SPECS = ("spec of {}", "\ufeffspec of {}", "\ufeff\ufeff{}\ufeff", "\u00fc\U0001f600\uffff {}", "a\x00\n\"\\ufeff {}")
+# One job of this many has a schedule.
+SCHEDULED_EACH = 40
 INSTANCE_TOPIC, TARGET_TOPIC, OPERATOR_TOPIC = "keyed.instances", "keyed.servers", "keyed.op"
 
 
@@ -291,7 +295,9 @@
         priority, tasks, work_s = self.random.choice([(0, 6, 0.06), (1, 2, 0.2), (1, 2, 0.2), (2, 4, 0.9)])
         self._last_job += 1
         number = f"{self._last_job:016x}"
-        job = Job(number, f"spec of {number}", tasks, 14000, work_s, priority)
+        job = Job(number, SPECS[self._last_job % len(SPECS)].format(number), tasks, 14000, work_s, priority)
+        if self._last_job % SCHEDULED_EACH == 0:
+            job.schedule = {"repeats": 2, "first-ms": int((time.time() + 5) * 1000), "interval-ms": 1000}
         if self.crashing_random.random() < self.crashing_share:
             job.crashing_task = f"{number}.0.0.{tasks - 1}"
         self.checks.jobs[number] = job
@@ -306,14 +312,15 @@
             if status not in (0, 502, 504) or gives_up or attempt == 2:
                 break
             await asyncio.sleep(RESEND_S)
-        if not gives_up and not job.crashing_task:
+        if not gives_up and not job.crashing_task and not job.schedule:
             self.ends.append((time.monotonic() - self.checks.began, status, state))
 
     async def _attempt(self, job, deadline_ms, give_up_s):
         """Returns status and state; status 0 if no whole answer came."""
         instance = self._choose()
         body = json.dumps({"spec": job.spec, "best-effort": True, "steps": [
-            {"count": job.tasks, "cpu": job.cpu, "mem-mb": 64, "est-ms": int(job.work_s * 1000)}]}).encode()
+            {"count": job.tasks, "cpu": job.cpu, "mem-mb": 64, "est-ms": int(job.work_s * 1000)}],
+            **job.schedule}, ensure_ascii=int(job.id, 16) // len(SPECS) % 2 == 0).encode()
         headers = {"Host": HOST, "Content-Type": "application/json", "Deadline-Ms": str(deadline_ms),
                    "Request-Id": f"q{job.id}"}
         began, process = time.monotonic(), instance.process
