--- a/unittests/PlatformAdapter/StoreClientTest.cpp
+++ b/unittests/PlatformAdapter/StoreClientTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(target_damagedLater_removed);
     CPPUNIT_TEST(target_zoneSpelledOtherwise_reported);
     CPPUNIT_TEST(target_keyWithMarkEndsPage_laterPagesRead);
+    CPPUNIT_TEST(target_listingThatNeverAdvances_endsWithRejection);
     CPPUNIT_TEST(target_oddEntriesAmongOthers_followingGoesOn);
     CPPUNIT_TEST(configuration_oddRouteAndOddRecord_followingGoesOn);
     CPPUNIT_TEST(instance_oddEntriesAmongOthers_followingGoesOn);
@@ -212,6 +213,17 @@
         CPPUNIT_ASSERT_EQUAL(mark + "i-3", m_listed.back().name.value);
     }
 
+    void target_listingThatNeverAdvances_endsWithRejection()
+    {
+        m_stand->write("keyed.servers", { "i-1", targetEntry() });
+        m_stand->write("keyed.servers", { "i-2", targetEntry() });
+        m_stand->itemsOfPage = 1;
+        m_stand->ignoresAfter = true;
+        m_client->watchTargets(true);
+        EventLoop::waitFor([this] { return !m_listed.empty(); });
+        CPPUNIT_ASSERT_EQUAL(1, m_rejected);
+    }
+
     void target_oddEntriesAmongOthers_followingGoesOn()
     {
         writeOdd("keyed.servers");
--- a/unittests/PlatformAdapter/StoreStandIn.cpp
+++ b/unittests/PlatformAdapter/StoreStandIn.cpp
@@ -69,7 +69,7 @@
     ++lists;
     const Topic &entry = m_topics[topic];
     QJsonArray items;
-    auto it = after.empty() ? entry.newest.begin() : entry.newest.upper_bound(after);
+    auto it = after.empty() || ignoresAfter ? entry.newest.begin() : entry.newest.upper_bound(after);
     for (std::size_t n = 0; it != entry.newest.end() && n < itemsOfPage; ++it, ++n) {
         items.append(QJsonObject { { QStringLiteral("key"), toQString(it->first) },
                                    { QStringLiteral("value"), QString::fromLatin1(it->second.toBase64()) },
--- a/unittests/PlatformAdapter/StoreStandIn.h
+++ b/unittests/PlatformAdapter/StoreStandIn.h
@@ -25,6 +25,7 @@
     std::string groupAnswer = R"({"generation":1,"ttl-ms":1200,"parts":[]})";
     std::vector<std::string> groupCalls; ///< Bodies.
     int lists = 0;
+    bool ignoresAfter = false; ///< Each page of a listing is the first one.
     std::size_t itemsOfPage = 500; ///< Most items that a page of a listing has.
 
     void write(const std::string &topic, const KeyedRecord &record);
