A message with a payload that is no UTF-8 is malformed, and ends no process

Payloads of jobs travel between instances as bytes, unchecked, so one malformed message from a peer, or an odd address on a command line, would have ended the process.

Test: job_payloadNotUtf8_isMalformed, which failed without the check; QtTextTest.

--- a/include/eelgrasscleat/Wire/QtText.h
+++ b/include/eelgrasscleat/Wire/QtText.h
@@ -12,7 +12,7 @@
 namespace Eelgrasscleat
 {
 
-/// @param utf8 valid UTF-8: text from outside is checked when it is read
+/// @param utf8 text that was checked when it was read; what is no valid UTF-8 becomes U+FFFD
 /// @returns the same characters, also a byte order mark at the beginning
 QString toQString(std::string_view utf8);
 
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -3,6 +3,8 @@
 /// comparable.
 #include "PeerMessages.h"
 
+#include <eelgrasscleat/Support/Utf8.h>
+
 #include <algorithm>
 
 namespace Eelgrasscleat
@@ -75,7 +77,8 @@
     const bool isTooLarge = std::any_of(request.steps.begin(), request.steps.end(), [](const JobStep &it) {
         return it.tasks > kMaxTaskIndex || it.firstTask > kMaxTaskIndex;
     });
-    if (isTooLarge) {
+    // Targets are told the payload as text.
+    if (isTooLarge || !isUtf8(request.payload)) {
         return false;
     }
     for (std::size_t i = 0; i < request.steps.size(); ++i) {
--- a/lib/Support/Utf8.cpp
+++ b/lib/Support/Utf8.cpp
@@ -60,12 +60,11 @@
     return 0;
 }
 
-bool isPrintableUtf8(std::string_view text)
+bool isUtf8(std::string_view text)
 {
     while (!text.empty()) {
-        const auto first = static_cast<unsigned char>(text[0]);
         const std::size_t length = utf8SequenceLength(text);
-        if (length == 0 || first < kFirstPrintable || first == kDelete) {
+        if (length == 0) {
             return false;
         }
         text.remove_prefix(length);
@@ -73,4 +72,13 @@
     return true;
 }
 
+bool isPrintableUtf8(std::string_view text)
+{
+    const auto isPrintable = [](char it) {
+        const auto byte = static_cast<unsigned char>(it);
+        return byte >= kFirstPrintable && byte != kDelete;
+    };
+    return std::all_of(text.begin(), text.end(), isPrintable) && isUtf8(text);
+}
+
 } // namespace Eelgrasscleat
--- a/unittests/Node/PeerMessagesTest.cpp
+++ b/unittests/Node/PeerMessagesTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(end_refusedAsLate_offerReadByThisVersion);
     CPPUNIT_TEST(configuration_writtenAndRead_isEqual);
     CPPUNIT_TEST(job_textsWithMarkOrNul_readByteForByte);
+    CPPUNIT_TEST(job_payloadNotUtf8_isMalformed);
     CPPUNIT_TEST(listing_writtenAndRead_isEqual);
     CPPUNIT_TEST(listing_unavailableOrOfOtherZone_isNothing);
     CPPUNIT_TEST_SUITE_END();
@@ -111,6 +112,20 @@
         }
     }
 
+    /// Guards against a malformed message that changes what a target is told, or ends the process.
+    void job_payloadNotUtf8_isMalformed()
+    {
+        schema::DispatchJob message;
+        message.set_id("job");
+        message.add_steps()->set_tasks(1);
+        const Instant now(std::chrono::seconds(10));
+        CPPUNIT_ASSERT(readJob(message, now).has_value());
+        for (const char *it : { "\xff", "a\xc3", "\xed\xa0\x80", "\xc0\x80" }) {
+            message.set_payload(it);
+            CPPUNIT_ASSERT_MESSAGE(it, !readJob(message, now).has_value());
+        }
+    }
+
     void listing_writtenAndRead_isEqual()
     {
         schema::ZoneTargets message;
