Platform: JSON with an unknown escape sequence is malformed

What callers saw: a spec "\q" was told to targets as "q". JSON doesn't define that sequence; Qt's parser reads it as the character itself.

--- a/unittests/PlatformAdapter/JobTextsTest.cpp
+++ b/unittests/PlatformAdapter/JobTextsTest.cpp
@@ -42,7 +42,8 @@
 
 /// JSON strings that stand for no sequence of characters, or for none that all readers agree on.
 const std::vector<std::string> kNoTexts = { "\\ud800", "x\\ud800", "\\udc00x", "\\ude00\\ud83d", "\xed\xa0\x80",
-                                            "\xff",    "\xc0\x80", "\\u12g4",  "\\" + kMark };
+                                            "\xff",    "\xc0\x80", "\\u12g4",  "\\" + kMark,     "\\q",
+                                            "\\'x",    "x\\\\\\q", "\\U0041" };
 
 /// A target that accepts all commands and keeps their bodies.
 class RecordingTarget : public HttpServerHandler
