A chunked request's trailers and size lines are bounded

What callers saw: an instance ended, and all its callers with it. One request with a trailer line of 70 KB was enough (SIGABRT); trailers or the line of a chunk's size without an end took memory as long as a client sent.

Cause: Boost.Beast's parser limits the head and the body, but neither the line of a chunk's size nor trailers; it leaves their bytes with the caller until their end has come, and HttpConnection kept them. A trailer field over 65,535 bytes makes the parser's storage throw, which nothing catches.

Fix: what the parser leaves of such a line is at most max-header-bytes, or the request is refused with 431. Pieces of 16 KB instead of 64 keep a finished line below the size at which the storage throws.

Ruled out: the body itself, for which the parser's limit holds with and without chunks.

--- a/lib/Wire/HttpConnection.cpp
+++ b/lib/Wire/HttpConnection.cpp
@@ -17,7 +17,7 @@
 namespace http = boost::beast::http;
 
 /// Largest piece that is read from the socket before it is parsed.
-static constexpr qint64 ReadBytes = 65536;
+static constexpr qint64 ReadBytes = 16384;
 
 static unsigned statusOf(HttpRefusal refusal)
 {
@@ -108,6 +108,11 @@
         m_parser->put(boost::asio::buffer(m_input.constData(), static_cast<std::size_t>(m_input.size())), ec);
     m_input.remove(0, static_cast<qsizetype>(used));
     if (ec == http::error::need_more) {
+        // The parser has no limit for the line of a chunk's size, nor for trailers.
+        if (m_parser->is_header_done() && static_cast<std::size_t>(m_input.size()) > m_limits.headerBytes) {
+            refuse(HttpRefusal::HeaderTooLarge);
+            return false;
+        }
         return used > 0 && !m_input.isEmpty();
     }
     if (ec == http::error::header_limit) {
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -34,6 +34,8 @@
 SPECS = ("spec of {}", "\ufeffspec of {}", "\ufeff\ufeff{}\ufeff", "\u00fc\U0001f600\uffff {}", "a\x00\n\"\\ufeff {}")
 # One job of this many has a schedule.
 SCHEDULED_EACH = 40
+# Limits of callers' requests.
+LIMITS = {"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}
 INSTANCE_TOPIC, TARGET_TOPIC, OPERATOR_TOPIC = "keyed.instances", "keyed.servers", "keyed.op"
 
 
@@ -206,7 +208,7 @@
         routes.append({**routes[0], "name": "probe", "path-prefix": f"/probe-{self.version}/"})
         self.store.write(OPERATOR_TOPIC, "config", entry(
             version=self.version, routes=routes, services=[{"name": "desk"}],
-            limits={"max-header-bytes": 16384, "max-body-bytes": 262144, "idle-timeout-ms": 15000}))
+            limits=LIMITS))
         self.versions.append((self.version, time.monotonic()))
 
     zones = ZONES
--- /dev/null
+++ b/test/test_unruly_clients.py
@@ -0,0 +1,46 @@
+"""Clients that don't behave, against a real instance with the limits of the smallest machine. Judged are only that it lives, what it
+holds, and that ordinary requests and readiness calls are answered afterwards."""
+
+import asyncio
+import unittest
+
+from support import crowd
+from support.limited import SEED, CrowdCase, LimitedWorld
+
+# For scripts that send far more than a request may have.
+FEW_CLIENTS = 120
+
+
+class BodyTest(CrowdCase):
+    def test_trailers_without_end_are_bounded(self):
+        self.check(FEW_CLIENTS, crowd.endless_trailers)
+
+    def test_trailer_line_of_70_kb_leaves_process_alive(self):
+        self.check(1, crowd.trailer_of_70_kb)
+
+    def test_chunk_line_without_end_is_bounded(self):
+        self.check(FEW_CLIENTS, crowd.endless_chunk_line)
+
+
+class CalmTest(CrowdCase):
+    """One legal request alone is served, however odd its lines."""
+
+    def test_largest_legal_requests_are_served(self):
+        asyncio.run(self._play_legal())
+
+    async def _play_legal(self):
+        world = LimitedWorld(SEED, self.memory_mb, self.descriptors)
+        try:
+            await world.start()
+            odd = crowd.odd_legal_requests(world)
+            self.assertEqual(await world.ask(pad=crowd.BODY_BYTES - 200), 200)
+            for name, job, pieces in odd:
+                status = await crowd.send_slowly(world.victim.front_port, pieces)
+                self.assertEqual((status, len(job.done)), (200, job.tasks), name)
+            self.assertEqual(world.checks.broken, [])
+        finally:
+            await world.stop()
+
+
+if __name__ == "__main__":
+    unittest.main()
