Requests of many short header lines take a bounded memory

What callers saw: an instance ran out of memory while clients sent requests of legal size whose head has thousands of short lines and whose last line, or body, never comes.

Cause: Boost.Beast's container keeps a node of its own for each line, about 20 times the bytes on the wire (a head of 16 KB: 330 KB), for as long as the request is incomplete; a second copy of each line was made for the request. Its reader also reserves a body of the announced length, of which nothing has come.

Fix: a parser of our own storage around Beast's grammar. Lines take their text and 8 bytes each; the body's memory follows the bytes that came; the head as a whole is counted, however it is cut into packets; trailers are checked and dropped, so that they no longer stand among the headers.

Ruled out: a limit on the number of lines. A single request of 16,384 bytes with thousands of lines is legal and is served, as integration.unruly_clients shows.

A head in whole lines without an end was refused before as well.

--- a/include/eelgrasscleat/Wire/HttpServer.h
+++ b/include/eelgrasscleat/Wire/HttpServer.h
@@ -5,6 +5,7 @@
 
 #include <eelgrasscleat/Support/Error.h>
 #include <eelgrasscleat/Support/Identifiers.h>
+#include <eelgrasscleat/Wire/HeaderFields.h>
 
 #include <chrono>
 #include <cstddef>
@@ -12,8 +13,6 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
 namespace Eelgrasscleat
 {
@@ -26,7 +25,7 @@
     std::string target; ///< Path and query.
     std::string authorization; ///< Value of that header, or empty.
     std::string host; ///< Value of that header, or empty.
-    std::vector<std::pair<std::string, std::string>> headers; ///< All, with names as the caller wrote them.
+    HeaderFields headers; ///< All but trailers, with names as the caller wrote them.
     std::string body;
     std::string peer; ///< Address and port of the caller.
 };
--- a/lib/Wire/HttpConnection.cpp
+++ b/lib/Wire/HttpConnection.cpp
@@ -2,22 +2,22 @@
 /// Parsing and ordered answering of one connection.
 #include "HttpConnection.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
 
 #include <QHostAddress>
 
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 
 namespace Eelgrasscleat
 {
 
 namespace http = boost::beast::http;
 
-/// Largest piece that is read from the socket before it is parsed.
-static constexpr qint64 ReadBytes = 16384;
+/// Largest piece that is read from the socket before it is parsed, in bytes.
+static constexpr std::size_t ReadBytes = 16384;
 
 static unsigned statusOf(HttpRefusal refusal)
 {
@@ -75,10 +75,7 @@
 
 void HttpConnection::startParser()
 {
-    m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
-    m_parser->body_limit(m_limits.bodyBytes);
-    m_parser->eager(true);
+    m_parser.emplace(m_limits.headerBytes, m_limits.bodyBytes);
 }
 
 void HttpConnection::readAvailable()
@@ -87,66 +84,58 @@
         discardAvailable();
         return;
     }
+    std::array<char, ReadBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init): read() fills it.
     while (!m_closing && !m_closed && m_exchanges.size() < m_limits.pipelined) {
-        if (!m_input.isEmpty() && parseOnce()) {
+        if (!m_input.empty() && parse()) {
             continue;
         }
-        const QByteArray bytes = m_socket->read(ReadBytes);
-        if (bytes.isEmpty()) {
-            return;
+        const qint64 n = m_closing || m_closed ? 0 : m_socket->read(buf.data(), ReadBytes);
+        if (n <= 0) {
+            break;
         }
         m_lastByte = std::chrono::steady_clock::now();
-        m_input += bytes;
+        m_input.append(buf.data(), static_cast<std::size_t>(n));
     }
+    // Most connections have nothing left here; the memory of a past piece isn't kept for them.
+    m_input.shrink_to_fit();
 }
 
-/// Feeds the parser once. @returns whether it made progress; false when it needs more bytes.
-bool HttpConnection::parseOnce()
+/// Gives the input to the parser. @returns whether a request is complete.
+bool HttpConnection::parse()
 {
-    boost::system::error_code ec;
-    const auto used =
-        m_parser->put(boost::asio::buffer(m_input.constData(), static_cast<std::size_t>(m_input.size())), ec);
-    m_input.remove(0, static_cast<qsizetype>(used));
-    if (ec == http::error::need_more) {
-        // The parser has no limit for the line of a chunk's size, nor for trailers.
-        if (m_parser->is_header_done() && static_cast<std::size_t>(m_input.size()) > m_limits.headerBytes) {
-            refuse(HttpRefusal::HeaderTooLarge);
-            return false;
-        }
-        return used > 0 && !m_input.isEmpty();
-    }
-    if (ec == http::error::header_limit) {
+    std::size_t used = 0;
+    const RequestParser::Outcome outcome = m_parser->take(m_input, used);
+    m_input.erase(0, used);
+    switch (outcome) {
+    case RequestParser::Outcome::NeedMore:
+        return false;
+    case RequestParser::Outcome::Done:
+        finishRequest();
+        return true;
+    case RequestParser::Outcome::HeaderTooLarge:
         refuse(HttpRefusal::HeaderTooLarge);
         return false;
-    }
-    if (ec == http::error::body_limit) {
+    case RequestParser::Outcome::BodyTooLarge:
         refuse(HttpRefusal::BodyTooLarge);
         return false;
+    case RequestParser::Outcome::Malformed:
+        break;
     }
-    if (ec) {
-        refuse(HttpRefusal::Malformed);
-        return false;
-    }
-    if (m_parser->is_done()) {
-        finishRequest();
-    }
-    return true;
+    refuse(HttpRefusal::Malformed);
+    return false;
 }
 
 void HttpConnection::finishRequest()
 {
-    auto message = m_parser->release();
-    Exchange exchange { m_owner.nextId(), message.keep_alive(), std::nullopt };
+    Exchange exchange { m_owner.nextId(), m_parser->keepsAlive(), std::nullopt };
     HttpRequest request;
     request.id = exchange.id;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.authorization = std::string(message[http::field::authorization]);
-    request.host = std::string(message[http::field::host]);
-    for (const auto &it : message) {
-        request.headers.emplace_back(std::string(it.name_string()), std::string(it.value()));
-    }
-    request.body = std::move(message.body());
+    request.method = std::move(m_parser->method);
+    request.target = std::move(m_parser->target);
+    request.headers = std::move(m_parser->fields);
+    request.authorization = std::string(request.headers.value("Authorization"));
+    request.host = std::string(request.headers.value("Host"));
+    request.body = std::move(m_parser->body);
     request.peer = m_peer;
     m_closing = m_closing || !exchange.keepAlive;
     m_exchanges.push_back(std::move(exchange));
@@ -207,7 +196,7 @@
 
 void HttpConnection::discardAvailable()
 {
-    while (!m_closed && !m_socket->read(ReadBytes).isEmpty()) { }
+    while (!m_closed && m_socket->skip(ReadBytes) > 0) { }
 }
 
 void HttpConnection::refuse(HttpRefusal refusal)
@@ -230,7 +219,7 @@
 void HttpConnection::closeAfterAnswers()
 {
     m_lastAnswerCloses = true;
-    if (m_exchanges.empty() && !m_parser->got_some() && !m_closing && !m_closed) {
+    if (m_exchanges.empty() && !m_parser->hasBegun() && !m_closing && !m_closed) {
         m_closing = true;
         m_socket->disconnectFromHost();
     }
@@ -260,7 +249,7 @@
         return;
     }
     if (m_exchanges.empty()) {
-        const bool partial = m_parser->got_some();
+        const bool partial = m_parser->hasBegun();
         if (partial) {
             refuse(HttpRefusal::IdleTimeout);
             return;
--- a/lib/Wire/HttpConnection.h
+++ b/lib/Wire/HttpConnection.h
@@ -2,18 +2,17 @@
 /// One connection of HttpServer: parses requests as bytes arrive and sends answers in the order of the requests.
 #pragma once
 
+#include "RequestParser.h"
+
 #include <eelgrasscleat/Wire/HttpServer.h>
 
-#include <QByteArray>
 #include <QObject>
 #include <QTcpSocket>
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <chrono>
 #include <deque>
 #include <optional>
+#include <string>
 
 namespace Eelgrasscleat
 {
@@ -58,8 +57,6 @@
     [[nodiscard]] bool isIdle() const;
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     /// A request in arrival order, with its answer once there is one.
     struct Exchange
     {
@@ -69,7 +66,7 @@
     };
 
     void readAvailable();
-    bool parseOnce();
+    bool parse();
     void startParser();
     void finishRequest();
     void writeReady();
@@ -82,8 +79,8 @@
     HttpConnectionOwner &m_owner;
     const HttpServerLimits &m_limits;
     std::string m_peer;
-    QByteArray m_input;
-    std::optional<Parser> m_parser;
+    std::string m_input; ///< Bytes that the parser has not taken.
+    std::optional<RequestParser> m_parser;
     std::deque<Exchange> m_exchanges;
     std::chrono::steady_clock::time_point m_lastByte;
     bool m_lastAnswerCloses = false; ///< The answer that leaves none pending ends the connection.
--- a/test/test_unruly_clients.py
+++ b/test/test_unruly_clients.py
@@ -7,6 +7,7 @@
 from support import crowd
 from support.limited import SEED, CrowdCase, LimitedWorld
 
+CLIENTS = 400
 # For scripts that send far more than a request may have.
 FEW_CLIENTS = 120
 
@@ -22,6 +23,14 @@
         self.check(FEW_CLIENTS, crowd.endless_chunk_line)
 
 
+class HeadTest(CrowdCase):
+    def test_short_lines_stopping_short_are_bounded(self):
+        self.check(CLIENTS, crowd.short_lines_without_end)
+
+    def test_short_lines_before_open_body_are_bounded(self):
+        self.check(CLIENTS, crowd.short_lines_before_open_body)
+
+
 class CalmTest(CrowdCase):
     """One legal request alone is served, however odd its lines."""
 
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -49,6 +49,9 @@
     CPPUNIT_TEST(receive_garbage_refusesMalformed);
     CPPUNIT_TEST(receive_hugeHeader_refuses);
     CPPUNIT_TEST(receive_hugeContentLength_refusesBeforeBody);
+    CPPUNIT_TEST(receive_headOfManyPieces_refusesAboveLimit);
+    CPPUNIT_TEST(receive_headAtLimit_served);
+    CPPUNIT_TEST(receive_trailers_dropped);
     CPPUNIT_TEST(receive_slowSender_refusesAfterIdleTime);
     CPPUNIT_TEST(receive_morePipelinedThanAllowed_readsOnAfterAnswers);
     CPPUNIT_TEST(accept_tooManyConnections_refuses);
@@ -128,6 +131,41 @@
             "POST / HTTP/1.1\r\nContent-Length: 209715200\r\n\r\n", "HTTP/1.1 413", HttpRefusal::BodyTooLarge);
     }
 
+    void receive_headOfManyPieces_refusesAboveLimit()
+    {
+        QTcpSocket &caller = connectCaller();
+        caller.write("GET / HTTP/1.1\r\n");
+        for (int i = 0; i < 41; ++i) {
+            caller.write("a: " + QByteArray(95, 'b') + "\r\n");
+            caller.flush();
+        }
+        CPPUNIT_ASSERT(readUntil(caller, "header_too_large").startsWith("HTTP/1.1 431"));
+    }
+
+    void receive_headAtLimit_served()
+    {
+        QByteArray head = "GET / HTTP/1.1\r\n";
+        while (head.size() < 4080) {
+            head += "a:\r\n";
+        }
+        head += "b:" + QByteArray(4096 - 6 - head.size(), ' ') + "\r\n\r\n";
+        connectCaller().write(head);
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 1; });
+        CPPUNIT_ASSERT(m_handler.requests.front().headers.size() > 1000);
+        CPPUNIT_ASSERT(m_handler.refusals.empty());
+    }
+
+    void receive_trailers_dropped()
+    {
+        connectCaller().write(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nHost: b\r\nx: y\r\n\r\n");
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 1; });
+        const HttpRequest &request = m_handler.requests.front();
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), request.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), request.host);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, request.headers.size());
+    }
+
     void receive_slowSender_refusesAfterIdleTime()
     {
         m_limits.idle = std::chrono::milliseconds(50);
