header-timeout-ms is kept

What callers saw: a client that sent a byte of a header now and then kept its connection, and what stood behind it, for ever.

Cause: header-timeout-ms of the configuration was read nowhere; the only time limit counts from the latest byte.

Fix: the configuration's time runs from the first byte of a header to its end; a request over it is refused with 408, as not read. Peers pass it on in a new field, whose absence means a version that doesn't know it. eelgrasscleatd has callers.header_ms, 10 s.

Evidence: HttpServerTest.receive_drippingHead_refusesAfterHeaderTime (no answer before), RecordsTest, PeerMessagesTest, OddEntriesTest.

--- a/include/eelgrasscleat/Dispatch/FleetView.h
+++ b/include/eelgrasscleat/Dispatch/FleetView.h
@@ -38,6 +38,7 @@
     std::vector<FleetRoute> routes;
     std::uint32_t headerBytes = 16384; ///< Maximum size of a request header.
     std::uint32_t bodyBytes = 262144; ///< Maximum size of a request body.
+    Duration headerTimeout = std::chrono::seconds(3); ///< From the first byte of a request's header to its end.
     Duration idleTimeout = std::chrono::seconds(15); ///< Idle timeout of callers' connections.
 };
 
--- a/include/eelgrasscleat/Wire/HttpServer.h
+++ b/include/eelgrasscleat/Wire/HttpServer.h
@@ -47,6 +47,7 @@
     BodyTooLarge,
     TooManyConnections,
     IdleTimeout,
+    HeaderTimeout, ///< The header took too long, however often a byte came.
 };
 
 /// @returns the name of @p refusal as it stands in metrics.
@@ -58,6 +59,7 @@
     std::size_t headerBytes = 16384;
     std::size_t bodyBytes = 4194304;
     std::size_t connections = 4000;
+    std::chrono::milliseconds header { 10000 }; ///< From the first byte of a request's header to its end.
     std::chrono::milliseconds idle { 30000 };
     std::size_t pipelined = 64; ///< Most unanswered requests on a connection; further ones wait unread.
 };
--- a/lib/Entry/CallerServer.cpp
+++ b/lib/Entry/CallerServer.cpp
@@ -124,6 +124,7 @@
     limits.headerBytes = settings.header_bytes();
     limits.bodyBytes = settings.body_bytes();
     limits.connections = settings.connections();
+    limits.header = std::chrono::milliseconds(settings.header_ms());
     limits.idle = std::chrono::milliseconds(settings.idle_ms());
     limits.pipelined = settings.pipelined();
     return limits;
--- a/lib/Node/PeerMessages.cpp
+++ b/lib/Node/PeerMessages.cpp
@@ -196,6 +196,7 @@
     message.set_header_bytes(configuration.headerBytes);
     message.set_body_bytes(configuration.bodyBytes);
     message.set_idle_timeout_us(toMicroseconds(configuration.idleTimeout));
+    message.set_header_timeout_us(toMicroseconds(configuration.headerTimeout));
     for (const FleetRoute &it : configuration.routes) {
         auto &route = *message.add_routes();
         route.set_name(it.name.value);
@@ -218,6 +219,9 @@
     configuration.headerBytes = message.header_bytes();
     configuration.bodyBytes = message.body_bytes();
     configuration.idleTimeout = toDuration(message.idle_timeout_us());
+    if (message.header_timeout_us() > 0) {
+        configuration.headerTimeout = toDuration(message.header_timeout_us());
+    }
     for (const auto &it : message.routes()) {
         FleetRoute route;
         route.name = RouteName(it.name());
--- a/lib/Wire/HttpConnection.cpp
+++ b/lib/Wire/HttpConnection.cpp
@@ -31,6 +31,7 @@
     case HttpRefusal::TooManyConnections:
         return 503;
     case HttpRefusal::IdleTimeout:
+    case HttpRefusal::HeaderTimeout:
         return 408;
     }
     return 400;
@@ -103,6 +104,9 @@
 /// Gives the input to the parser. @returns whether a request is complete.
 bool HttpConnection::parse()
 {
+    if (!m_parser->hasBegun()) {
+        m_headBegan = m_lastByte;
+    }
     std::size_t used = 0;
     const RequestParser::Outcome outcome = m_parser->take(m_input, used);
     m_input.erase(0, used);
@@ -236,8 +240,13 @@
     disconnected();
 }
 
-void HttpConnection::checkIdle(std::chrono::steady_clock::time_point now)
+void HttpConnection::checkTime(std::chrono::steady_clock::time_point now)
 {
+    const bool isHeadOpen = m_parser->hasBegun() && !m_parser->isHeadDone();
+    if (isHeadOpen && !m_closing && !m_closed && now - m_headBegan >= m_limits.header) {
+        refuse(HttpRefusal::HeaderTimeout);
+        return;
+    }
     if (m_closed || now - m_lastByte < m_limits.idle) {
         return;
     }
--- a/lib/Wire/HttpConnection.h
+++ b/lib/Wire/HttpConnection.h
@@ -50,8 +50,8 @@
     void closeAfterFirstAnswer();
     /// Closes at once.
     void abort();
-    /// Closes the connection if it has been idle for too long.
-    void checkIdle(std::chrono::steady_clock::time_point now);
+    /// Closes the connection if it has been idle, or its request's header incomplete, for too long.
+    void checkTime(std::chrono::steady_clock::time_point now);
 
     [[nodiscard]] bool isClosed() const;
     [[nodiscard]] bool isIdle() const;
@@ -83,6 +83,7 @@
     std::optional<RequestParser> m_parser;
     std::deque<Exchange> m_exchanges;
     std::chrono::steady_clock::time_point m_lastByte;
+    std::chrono::steady_clock::time_point m_headBegan; ///< If the parser has begun.
     bool m_lastAnswerCloses = false; ///< The answer that leaves none pending ends the connection.
     bool m_closing = false; ///< No more requests are read.
     bool m_draining = false; ///< The last answer is written; what still arrives is dropped until the caller closes.
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -18,8 +18,8 @@
 namespace Eelgrasscleat
 {
 
-static constexpr std::array<std::string_view, 5> HttpRefusalNames = {
-    "malformed", "header_too_large", "body_too_large", "too_many_connections", "idle_timeout",
+static constexpr std::array<std::string_view, 6> HttpRefusalNames = {
+    "malformed", "header_too_large", "body_too_large", "too_many_connections", "idle_timeout", "header_timeout",
 };
 
 /// Pending connections that the kernel keeps for us.
@@ -41,8 +41,7 @@
     {
         m_server.setListenBacklogSize(ListenBacklog);
         QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] { acceptAll(); });
-        m_sweep.setInterval(
-            std::clamp(m_limits.idle / 4, std::chrono::milliseconds(10), std::chrono::milliseconds(1000)));
+        setSweepInterval();
         QObject::connect(&m_sweep, &QTimer::timeout, &m_sweep, [this] { sweep(); });
         m_sweep.start();
     }
@@ -80,6 +79,7 @@
     void setLimits(const HttpServerLimits &limits)
     {
         m_limits = limits;
+        setSweepInterval();
     }
 
     void respond(CallerId id, const HttpResponse &response)
@@ -136,6 +136,16 @@
     }
 
 private:
+    void setSweepInterval()
+    {
+        const auto shortest = std::min(m_limits.header, m_limits.idle);
+        const auto interval =
+            std::clamp(shortest / 4, std::chrono::milliseconds(10), std::chrono::milliseconds(1000));
+        if (m_sweep.intervalAsDuration() != interval) {
+            m_sweep.setInterval(interval);
+        }
+    }
+
     void acceptAll()
     {
         while (QTcpSocket *socket = m_server.nextPendingConnection()) {
@@ -155,7 +165,7 @@
     {
         const auto now = std::chrono::steady_clock::now();
         for (const auto &it : m_connections) {
-            it->checkIdle(now);
+            it->checkTime(now);
         }
         removeClosed();
     }
--- a/unittests/Node/PeerMessagesTest.cpp
+++ b/unittests/Node/PeerMessagesTest.cpp
@@ -55,6 +55,7 @@
         configuration.headerBytes = 1;
         configuration.bodyBytes = 2;
         configuration.idleTimeout = std::chrono::seconds(3);
+        configuration.headerTimeout = std::chrono::seconds(4);
         configuration.routes.push_back({ RouteName("route"),
                                          "host",
                                          "/jobs/",
@@ -72,6 +73,7 @@
         CPPUNIT_ASSERT_EQUAL(configuration.headerBytes, read.headerBytes);
         CPPUNIT_ASSERT_EQUAL(configuration.bodyBytes, read.bodyBytes);
         CPPUNIT_ASSERT(read.idleTimeout == configuration.idleTimeout);
+        CPPUNIT_ASSERT(read.headerTimeout == configuration.headerTimeout);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, read.routes.size());
         const FleetRoute &written = configuration.routes[0];
         const FleetRoute &route = read.routes[0];
--- a/unittests/PlatformAdapter/OddEntriesTest.cpp
+++ b/unittests/PlatformAdapter/OddEntriesTest.cpp
@@ -251,14 +251,15 @@
     void configuration_oddLimits_defaultsKept()
     {
         const FleetConfiguration defaults;
-        for (const char *it : { R"({"max-header-bytes":0,"max-body-bytes":4294967296,"idle-timeout-ms":-1})",
-                                R"({"max-header-bytes":"x","max-body-bytes":null,"idle-timeout-ms":1e300})" }) {
+        for (const char *it : { R"({"max-header-bytes":0,"max-body-bytes":4294967296,"idle-timeout-ms":-1,"header-timeout-ms":0})",
+                                R"({"max-header-bytes":"x","max-body-bytes":null,"idle-timeout-ms":1e300,"header-timeout-ms":"1"})" }) {
             const auto read = decodeConfiguration(QByteArray(R"({"version":3,"routes":[],"limits":)") + it + "}");
             const auto &record = std::get<ConfigurationRecord>(read);
             CPPUNIT_ASSERT_EQUAL(defaults.headerBytes, record.configuration.headerBytes);
             CPPUNIT_ASSERT_EQUAL(defaults.bodyBytes, record.configuration.bodyBytes);
             CPPUNIT_ASSERT(defaults.idleTimeout == record.configuration.idleTimeout);
-            CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, record.rejected.size());
+            CPPUNIT_ASSERT(defaults.headerTimeout == record.configuration.headerTimeout);
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, record.rejected.size());
         }
         const auto read = decodeConfiguration(R"({"version":3,"routes":[],"limits":7})");
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, std::get<ConfigurationRecord>(read).rejected.size());
--- a/unittests/PlatformAdapter/RecordsTest.cpp
+++ b/unittests/PlatformAdapter/RecordsTest.cpp
@@ -129,6 +129,7 @@
         CPPUNIT_ASSERT(route.latencyTarget == std::chrono::milliseconds(60));
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.6, route.stretch, 1e-9);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t { 262144 }, configuration.bodyBytes);
+        CPPUNIT_ASSERT(configuration.headerTimeout == std::chrono::milliseconds(3500));
     }
 
     void configuration_damaged_namedError()
@@ -238,7 +239,7 @@
     const QByteArray kConfiguration = R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/lohu930/",
         "kind":"unsafe","timeout-ms":1500,"target-latency-ms":60,"priority":0,"service":"huvo","attempts":3,
         "stretch":1.6}],"services":[],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,
-        "header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+        "header-timeout-ms":3500,"idle-timeout-ms":15000}})";
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordsTest);
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -7,6 +7,7 @@
 #include <QByteArray>
 #include <QHostAddress>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -53,6 +54,7 @@
     CPPUNIT_TEST(receive_headAtLimit_served);
     CPPUNIT_TEST(receive_trailers_dropped);
     CPPUNIT_TEST(receive_slowSender_refusesAfterIdleTime);
+    CPPUNIT_TEST(receive_drippingHead_refusesAfterHeaderTime);
     CPPUNIT_TEST(receive_morePipelinedThanAllowed_readsOnAfterAnswers);
     CPPUNIT_TEST(accept_tooManyConnections_refuses);
     CPPUNIT_TEST(closeAfterAnswers_pendingAndIdle_closesEachWhenAnswered);
@@ -172,6 +174,17 @@
         expectRefusal("POST / HTTP/1.1\r\nContent-", "HTTP/1.1 408", HttpRefusal::IdleTimeout);
     }
 
+    void receive_drippingHead_refusesAfterHeaderTime()
+    {
+        m_limits.header = std::chrono::milliseconds(100);
+        QTcpSocket &caller = connectCaller();
+        caller.write("GET / HTTP/1.1\r\n");
+        QTimer drip;
+        QObject::connect(&drip, &QTimer::timeout, &caller, [&caller] { caller.write("a"); });
+        drip.start(5);
+        CPPUNIT_ASSERT(readUntil(caller, "header_timeout").startsWith("HTTP/1.1 408"));
+    }
+
     void receive_morePipelinedThanAllowed_readsOnAfterAnswers()
     {
         QTcpSocket &caller = connectCaller();
