All connections of callers together hold a bounded memory

What callers saw: an instance ran out of memory while many clients held a body that stops just short of its end, in large chunks, in very small ones, or of an announced length. Each was inside the limits of a request.

Cause: there were limits for one request, none for all connections. 400 clients with a body of 256 KB each hold more than the smallest machine has, and 64 KB of input buffer each beside it.

Fix: each connection tells its server what it holds: input, the parser's storage, requests with the handler, answers, the socket's outgoing buffer; 64 KB stand for the socket, its buffers and the kernel's receive buffer, which is asked to be small since unread bytes count too. Above the bound the connection that holds most is closed; of those below 64 KB beyond that, one without a waiting request, on which nothing has moved for the longest time. An incomplete request has not run, so closing it promises nothing; a handler's caller is reported gone from the event loop, never from inside the handler's own call.

Ruled out: a refusal with an answer under pressure, which would have to be held for a client that may not take it; lower limits for one request, which legal clients would meet.

HttpServerTest.heldBytes_*: who is closed, and that the largest legal request alone is served.

--- a/include/eelgrasscleat/Node/DispatchNode.h
+++ b/include/eelgrasscleat/Node/DispatchNode.h
@@ -5,6 +5,7 @@
 
 #include <eelgrasscleat/Dispatch/Dispatcher.h>
 #include <eelgrasscleat/Dispatch/JobRouter.h>
+#include <eelgrasscleat/Node/ClientLimits.h>
 #include <eelgrasscleat/Node/Ports.h>
 #include <eelgrasscleat/Support/Error.h>
 #include <eelgrasscleat/Support/Metrics.h>
@@ -20,6 +21,7 @@
 struct NodeSettings
 {
     InstanceRegistration self;
+    ProcessCapacity process;
     bool isBootstrap = false; ///< The whole deployment starts for the first time.
     DispatcherPolicy dispatcher;
     JobRouterPolicy router;
--- a/include/eelgrasscleat/Wire/HttpServer.h
+++ b/include/eelgrasscleat/Wire/HttpServer.h
@@ -48,12 +48,13 @@
     TooManyConnections,
     IdleTimeout,
     HeaderTimeout, ///< The header took too long, however often a byte came.
+    Evicted, ///< Closed without an answer, because all connections together held too much.
 };
 
 /// @returns the name of @p refusal as it stands in metrics.
 std::string_view httpRefusalName(HttpRefusal refusal);
 
-/// Bounds on what one caller can take.
+/// Bounds on what one caller, and all callers together, can take.
 struct HttpServerLimits
 {
     std::size_t headerBytes = 16384;
@@ -62,6 +63,9 @@
     std::chrono::milliseconds header { 10000 }; ///< From the first byte of a request's header to its end.
     std::chrono::milliseconds idle { 30000 };
     std::size_t pipelined = 64; ///< Most unanswered requests on a connection; further ones wait unread.
+    /// Most memory of all connections together: buffers, incomplete requests, requests that wait for their answers, and
+    /// answers that are not taken. Above it connections are closed, first those that hold most.
+    std::size_t heldBytes = std::size_t { 512 } * 1024 * 1024;
 };
 
 /// What a server calls, on its own thread.
@@ -98,6 +102,8 @@
     void stopListening();
     /// Closes all connections at once, without answers.
     void abortAll();
+    /// Tells how much memory a request takes until it is answered, beside what the server holds itself.
+    void setHeldBytes(CallerId id, std::size_t bytes);
     /// Changes the bounds for requests that begin from now on.
     void setLimits(const HttpServerLimits &limits);
     /// Closes a request's connection at once, without an answer. For stand-ins that fail on purpose.
@@ -106,6 +112,8 @@
     [[nodiscard]] bool isIdle() const;
     /// @returns the open connections.
     [[nodiscard]] std::size_t connectionCount() const;
+    /// @returns the memory of all connections together, as it counts towards HttpServerLimits::heldBytes.
+    [[nodiscard]] std::size_t heldBytes() const;
 
 private:
     class Impl;
--- a/lib/Entry/CallerServer.cpp
+++ b/lib/Entry/CallerServer.cpp
@@ -127,6 +127,7 @@
     limits.header = std::chrono::milliseconds(settings.header_ms());
     limits.idle = std::chrono::milliseconds(settings.idle_ms());
     limits.pipelined = settings.pipelined();
+    limits.heldBytes = std::size_t { settings.held_mb() } * 1024 * 1024;
     return limits;
 }
 
--- a/lib/Wire/HttpConnection.cpp
+++ b/lib/Wire/HttpConnection.cpp
@@ -29,6 +29,7 @@
     case HttpRefusal::BodyTooLarge:
         return 413;
     case HttpRefusal::TooManyConnections:
+    case HttpRefusal::Evicted:
         return 503;
     case HttpRefusal::IdleTimeout:
     case HttpRefusal::HeaderTimeout:
@@ -58,12 +59,14 @@
     , m_limits(limits)
     , m_peer(socket->peerAddress().toString().toStdString() + ":" + std::to_string(socket->peerPort()))
     , m_lastByte(std::chrono::steady_clock::now())
+    , m_lastTaken(m_lastByte)
 {
     // What is not read stays in the kernel, so a caller that sends too much is slowed by TCP and not buffered here.
-    m_socket->setReadBufferSize(ReadBytes);
+    m_socket->setReadBufferSize(static_cast<qint64>(ReadBytes));
     m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     startParser();
     QObject::connect(m_socket, &QTcpSocket::readyRead, &m_context, [this] { readAvailable(); });
+    QObject::connect(m_socket, &QTcpSocket::bytesWritten, &m_context, [this] { bytesTaken(); });
     QObject::connect(m_socket, &QTcpSocket::disconnected, &m_context, [this] { disconnected(); });
 }
 
@@ -99,6 +102,7 @@
     }
     // Most connections have nothing left here; the memory of a past piece isn't kept for them.
     m_input.shrink_to_fit();
+    updateHeldBytes();
 }
 
 /// Gives the input to the parser. @returns whether a request is complete.
@@ -131,7 +135,7 @@
 
 void HttpConnection::finishRequest()
 {
-    Exchange exchange { m_owner.nextId(), m_parser->keepsAlive(), std::nullopt };
+    Exchange exchange { m_owner.nextId(), m_parser->keepsAlive(), 0, std::nullopt };
     HttpRequest request;
     request.id = exchange.id;
     request.method = std::move(m_parser->method);
@@ -155,7 +159,43 @@
         return;
     }
     it->response = response;
+    setExchangeBytes(*it, response.body.size());
     writeReady();
+    updateHeldBytes();
+}
+
+void HttpConnection::setHeldBytes(CallerId id, std::size_t bytes)
+{
+    const auto it =
+        std::find_if(m_exchanges.begin(), m_exchanges.end(), [id](const Exchange &e) { return e.id == id; });
+    if (it != m_exchanges.end() && !it->response) {
+        setExchangeBytes(*it, bytes);
+        updateHeldBytes();
+    }
+}
+
+void HttpConnection::setExchangeBytes(Exchange &exchange, std::size_t bytes)
+{
+    m_exchangeBytes += bytes - exchange.heldBytes;
+    exchange.heldBytes = bytes;
+}
+
+void HttpConnection::updateHeldBytes()
+{
+    const std::size_t bytes = m_closed ? 0
+                                       : m_input.capacity() + m_parser->heldBytes() + m_exchangeBytes
+            + static_cast<std::size_t>(m_socket->bytesToWrite());
+    const std::ptrdiff_t change = static_cast<std::ptrdiff_t>(bytes) - static_cast<std::ptrdiff_t>(m_extraBytes);
+    m_extraBytes = bytes;
+    if (change != 0) {
+        m_owner.heldBytesChanged(change);
+    }
+}
+
+void HttpConnection::bytesTaken()
+{
+    m_lastTaken = std::chrono::steady_clock::now();
+    updateHeldBytes();
 }
 
 void HttpConnection::writeReady()
@@ -167,6 +207,7 @@
         last = !front.keepAlive || (m_lastAnswerCloses && m_exchanges.size() == 1);
         m_socket->write(serialize(*front.response, !last));
         m_closing = m_closing || last;
+        setExchangeBytes(m_exchanges.front(), 0);
         m_exchanges.pop_front();
     }
     if (last && !m_closed) {
@@ -215,9 +256,17 @@
     HttpResponse response;
     response.status = statusOf(refusal);
     response.body = "{\"error\":\"" + std::string(httpRefusalName(refusal)) + "\"}";
-    Exchange exchange { m_owner.nextId(), false, std::move(response) };
+    Exchange exchange { m_owner.nextId(), false, 0, std::move(response) };
     m_exchanges.push_back(std::move(exchange));
+    startParser();
     writeReady();
+    updateHeldBytes();
+}
+
+void HttpConnection::evict()
+{
+    m_owner.connectionRefused(HttpRefusal::Evicted, m_peer);
+    abort();
 }
 
 void HttpConnection::closeAfterAnswers()
@@ -280,6 +329,11 @@
         }
     }
     m_exchanges.clear();
+    m_exchangeBytes = 0;
+    m_input = {};
+    startParser();
+    m_owner.connectionClosed();
+    updateHeldBytes();
 }
 
 bool HttpConnection::isClosed() const
@@ -292,4 +346,19 @@
     return m_closed || (m_exchanges.empty() && m_socket->bytesToWrite() == 0);
 }
 
+bool HttpConnection::isWaiting() const
+{
+    return std::any_of(m_exchanges.begin(), m_exchanges.end(), [](const Exchange &it) { return !it.response; });
+}
+
+std::size_t HttpConnection::extraBytes() const
+{
+    return m_extraBytes;
+}
+
+std::chrono::steady_clock::time_point HttpConnection::lastMove() const
+{
+    return std::max(m_lastByte, m_lastTaken);
+}
+
 } // namespace Eelgrasscleat
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -1,5 +1,6 @@
 /// @file
 /// Accepts connections, numbers requests and finds the connection of each answer.
+#include <eelgrasscleat/Support/Log.h>
 #include <eelgrasscleat/Wire/HttpServer.h>
 #include <eelgrasscleat/Wire/QtText.h>
 
@@ -9,22 +10,38 @@
 #include <QTcpServer>
 #include <QTimer>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <cerrno>
+#include <cstring>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 namespace Eelgrasscleat
 {
 
-static constexpr std::array<std::string_view, 6> HttpRefusalNames = {
-    "malformed", "header_too_large", "body_too_large", "too_many_connections", "idle_timeout", "header_timeout",
+static constexpr std::array<std::string_view, 7> HttpRefusalNames = {
+    "malformed",    "header_too_large", "body_too_large", "too_many_connections",
+    "idle_timeout", "header_timeout",   "evicted",
 };
 
 /// Pending connections that the kernel keeps for us.
 static constexpr int ListenBacklog = 1024;
 
+/// Receive buffer that is asked of the kernel for a connection, in bytes; it takes twice that.
+static constexpr int ReceiveBufferBytes = 16384;
+
+/// Memory of a connection without its requests and answers: a socket's object, a buffer for each direction, and the
+/// kernel's receive buffer, whose unread bytes count as this process's memory on some platforms.
+static constexpr std::size_t ConnectionBytes = 65536;
+
+/// A connection that holds less beyond that is never closed because of its size: ordinary requests are smaller.
+static constexpr std::size_t SmallBytes = 65536;
+
 std::string_view httpRefusalName(HttpRefusal refusal)
 {
     const auto index = static_cast<std::size_t>(refusal);
@@ -32,6 +49,28 @@
     return HttpRefusalNames[index];
 }
 
+/// Counts a call that is on the stack.
+class CallGuard
+{
+public:
+    explicit CallGuard(int &depth)
+        : m_depth(depth)
+    {
+        ++m_depth;
+    }
+
+    ~CallGuard()
+    {
+        --m_depth;
+    }
+
+    CallGuard(const CallGuard &) = delete;
+    CallGuard &operator=(const CallGuard &) = delete;
+
+private:
+    int &m_depth;
+};
+
 class HttpServer::Impl : public HttpConnectionOwner
 {
 public:
@@ -53,6 +92,11 @@
             const std::string reason = host.isNull() ? "not an IP number" : m_server.errorString().toStdString();
             return Error { ErrorCode::Unavailable, Step::Connect, address + ":" + std::to_string(port), reason };
         }
+        // Accepted connections inherit it.
+        const auto descriptor = static_cast<int>(m_server.socketDescriptor());
+        if (::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes, sizeof(ReceiveBufferBytes)) != 0) {
+            writeLog(LogLevel::Warn, "receive buffers keep the kernel's size", { { "detail", std::strerror(errno) } });
+        }
         return m_server.serverPort();
     }
 
@@ -76,6 +120,20 @@
         }
     }
 
+    void setHeldBytes(CallerId id, std::size_t bytes)
+    {
+        const auto it = m_owners.find(id);
+        if (it != m_owners.end()) {
+            const CallGuard guard(m_callDepth);
+            it->second->setHeldBytes(id, bytes);
+        }
+    }
+
+    [[nodiscard]] std::size_t heldBytes() const
+    {
+        return m_open * ConnectionBytes + m_extraBytes;
+    }
+
     void setLimits(const HttpServerLimits &limits)
     {
         m_limits = limits;
@@ -90,6 +148,7 @@
         }
         HttpConnection *connection = it->second;
         m_owners.erase(it);
+        const CallGuard guard(m_callDepth);
         connection->respond(id, response);
     }
 
@@ -120,6 +179,7 @@
     void requestParsed(HttpConnection &connection, HttpRequest request) override
     {
         m_owners.emplace(request.id, &connection);
+        const CallGuard guard(m_callDepth);
         m_handler.requestReceived(std::move(request));
     }
 
@@ -130,6 +190,23 @@
         }
     }
 
+    void heldBytesChanged(std::ptrdiff_t change) override
+    {
+        m_extraBytes += static_cast<std::size_t>(change);
+        relieve();
+    }
+
+    void connectionClosed() override
+    {
+        --m_open;
+        // What it holds is freed soon, but not while it may be on the stack.
+        if (!m_isRemovalDue) {
+            m_isRemovalDue = true;
+            QMetaObject::invokeMethod(
+                &m_server, [this] { removeClosed(); }, Qt::QueuedConnection);
+        }
+    }
+
     void connectionRefused(HttpRefusal refusal, const std::string &peer) override
     {
         m_handler.refused(refusal, peer);
@@ -139,8 +216,7 @@
     void setSweepInterval()
     {
         const auto shortest = std::min(m_limits.header, m_limits.idle);
-        const auto interval =
-            std::clamp(shortest / 4, std::chrono::milliseconds(10), std::chrono::milliseconds(1000));
+        const auto interval = std::clamp(shortest / 4, std::chrono::milliseconds(10), std::chrono::milliseconds(1000));
         if (m_sweep.intervalAsDuration() != interval) {
             m_sweep.setInterval(interval);
         }
@@ -158,7 +234,59 @@
                 connection->closeAfterFirstAnswer();
             }
             m_connections.push_back(std::move(connection));
+            ++m_open;
+            relieve();
+        }
+    }
+
+    /// Closes connections until the others hold no more than allowed.
+    void relieve()
+    {
+        if (m_isRelieving) {
+            return;
+        }
+        m_isRelieving = true;
+        HttpConnection *victim = nullptr;
+        while (heldBytes() > m_limits.heldBytes && (victim = heaviest()) != nullptr) {
+            if (m_callDepth > 0 && victim->isWaiting()) {
+                // The handler is on the stack; it hears of its caller's end from the event loop.
+                relieveLater();
+                break;
+            }
+            victim->evict();
+        }
+        m_isRelieving = false;
+    }
+
+    void relieveLater()
+    {
+        if (!m_isReliefDue) {
+            m_isReliefDue = true;
+            QMetaObject::invokeMethod(
+                &m_server,
+                [this] {
+                    m_isReliefDue = false;
+                    relieve();
+                },
+                Qt::QueuedConnection);
+        }
+    }
+
+    /// @returns the connection to close first: one with much memory; else one without a request that waits for its
+    /// answer; else the one on which nothing has moved for the longest time.
+    [[nodiscard]] HttpConnection *heaviest() const
+    {
+        const auto rank = [](const HttpConnection &it) {
+            const std::size_t large = it.extraBytes() > SmallBytes ? it.extraBytes() : 0;
+            return std::make_tuple(large, !it.isWaiting(), -it.lastMove().time_since_epoch());
+        };
+        HttpConnection *first = nullptr;
+        for (const auto &it : m_connections) {
+            if (!it->isClosed() && (first == nullptr || rank(*it) > rank(*first))) {
+                first = it.get();
+            }
         }
+        return first;
     }
 
     void sweep()
@@ -172,6 +300,7 @@
 
     void removeClosed()
     {
+        m_isRemovalDue = false;
         std::erase_if(m_connections, [](const auto &it) { return it->isClosed(); });
     }
 
@@ -181,6 +310,12 @@
     QTimer m_sweep;
     std::uint64_t m_lastId = 0;
     bool m_closeAfterAnswers = false;
+    bool m_isRelieving = false;
+    bool m_isReliefDue = false;
+    bool m_isRemovalDue = false;
+    int m_callDepth = 0; ///< Calls of the handler, or from it, that are on the stack.
+    std::size_t m_open = 0; ///< Connections that aren't closed.
+    std::size_t m_extraBytes = 0; ///< Of all connections, beyond ConnectionBytes each.
     std::unordered_map<CallerId, HttpConnection *> m_owners;
     std::vector<std::unique_ptr<HttpConnection>> m_connections;
 };
@@ -222,6 +357,16 @@
     m_impl->setLimits(limits);
 }
 
+void HttpServer::setHeldBytes(CallerId id, std::size_t bytes)
+{
+    m_impl->setHeldBytes(id, bytes);
+}
+
+std::size_t HttpServer::heldBytes() const
+{
+    return m_impl->heldBytes();
+}
+
 void HttpServer::abort(CallerId id)
 {
     m_impl->abort(id);
--- a/test/test_unruly_clients.py
+++ b/test/test_unruly_clients.py
@@ -22,6 +22,15 @@
     def test_chunk_line_without_end_is_bounded(self):
         self.check(FEW_CLIENTS, crowd.endless_chunk_line)
 
+    def test_large_chunks_stopping_short_are_bounded(self):
+        self.check(CLIENTS, crowd.large_chunks_without_end)
+
+    def test_small_chunks_stopping_short_are_bounded(self):
+        self.check(CLIENTS, crowd.small_chunks_without_end)
+
+    def test_bodies_of_known_size_stopping_short_are_bounded(self):
+        self.check(CLIENTS, crowd.body_of_known_size_without_end)
+
 
 class HeadTest(CrowdCase):
     def test_short_lines_stopping_short_are_bounded(self):
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -56,6 +56,10 @@
     CPPUNIT_TEST(receive_slowSender_refusesAfterIdleTime);
     CPPUNIT_TEST(receive_drippingHead_refusesAfterHeaderTime);
     CPPUNIT_TEST(receive_morePipelinedThanAllowed_readsOnAfterAnswers);
+    CPPUNIT_TEST(heldBytes_incompleteBodiesOverLimit_heaviestClosed);
+    CPPUNIT_TEST(heldBytes_requestsWithHandlerOverLimit_heaviestClosedFromEventLoop);
+    CPPUNIT_TEST(heldBytes_connectionsOverLimit_longestIdleClosed);
+    CPPUNIT_TEST(heldBytes_largestRequestAlone_served);
     CPPUNIT_TEST(accept_tooManyConnections_refuses);
     CPPUNIT_TEST(closeAfterAnswers_pendingAndIdle_closesEachWhenAnswered);
     CPPUNIT_TEST_SUITE_END();
@@ -221,6 +225,66 @@
         CPPUNIT_ASSERT(readUntil(late, "too_many_connections").startsWith("HTTP/1.1 503"));
     }
 
+    void heldBytes_incompleteBodiesOverLimit_heaviestClosed()
+    {
+        m_limits.bodyBytes = 400000;
+        m_limits.heldBytes = 4 * 65536 + 500000;
+        QTcpSocket &ordinary = connectCaller();
+        ordinary.write(post("/a", "1"));
+        QTcpSocket &heavy = connectCaller();
+        heavy.write("POST /b HTTP/1.1\r\nContent-Length: 400000\r\n\r\n" + QByteArray(390000, 'x'));
+        QTcpSocket &lighter = connectCaller();
+        lighter.write("POST /c HTTP/1.1\r\nContent-Length: 400000\r\n\r\n" + QByteArray(200000, 'x'));
+        EventLoop::waitFor([&heavy] { return heavy.state() == QAbstractSocket::UnconnectedState; });
+        CPPUNIT_ASSERT(lighter.state() == QAbstractSocket::ConnectedState);
+        CPPUNIT_ASSERT(m_handler.refusals == std::vector<HttpRefusal> { HttpRefusal::Evicted });
+        CPPUNIT_ASSERT(m_handler.gone.empty());
+        respond(0, "done");
+        readUntil(ordinary, "done");
+    }
+
+    void heldBytes_requestsWithHandlerOverLimit_heaviestClosedFromEventLoop()
+    {
+        m_limits.heldBytes = 4 * 65536 + 500000;
+        QTcpSocket &small = connectCaller();
+        small.write(post("/a", "1"));
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 1; });
+        QTcpSocket &large = connectCaller();
+        large.write(post("/b", "2"));
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 2; });
+        m_server->setHeldBytes(m_handler.requests[0].id, 200000);
+        m_server->setHeldBytes(m_handler.requests[1].id, 700000);
+        CPPUNIT_ASSERT_MESSAGE("the handler isn't called from inside its own call", m_handler.gone.empty());
+        EventLoop::waitFor([this] { return !m_handler.gone.empty(); });
+        CPPUNIT_ASSERT(m_handler.gone == std::vector<CallerId> { m_handler.requests[1].id });
+        CPPUNIT_ASSERT(m_server->heldBytes() < m_limits.heldBytes);
+        respond(0, "done");
+        readUntil(small, "done");
+    }
+
+    void heldBytes_connectionsOverLimit_longestIdleClosed()
+    {
+        m_limits.heldBytes = 3 * 65536 + 10000;
+        QTcpSocket &idle = connectCaller();
+        QTcpSocket &waiting = connectCaller();
+        waiting.write(post("/a", "1"));
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 1; });
+        connectCaller();
+        connectCaller();
+        EventLoop::waitFor([&idle] { return idle.state() == QAbstractSocket::UnconnectedState; });
+        respond(0, "done");
+        readUntil(waiting, "done");
+    }
+
+    void heldBytes_largestRequestAlone_served()
+    {
+        m_limits.bodyBytes = 400000;
+        m_limits.heldBytes = 65536 + 4 * 400000;
+        connectCaller().write("POST /b HTTP/1.1\r\nContent-Length: 400000\r\n\r\n" + QByteArray(400000, 'x'));
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 1; });
+        CPPUNIT_ASSERT(m_handler.refusals.empty());
+    }
+
 private:
     static QByteArray post(const QByteArray &path, const QByteArray &body)
     {
