Answers that a caller doesn't take stop its further requests

What callers saw: an instance ran out of memory while clients sent requests one behind the other and read no answers, on the callers' port as on those for readiness and metrics. Sixteen such connections to the readiness port kept the balancer's calls out as well.

Cause: the number of unanswered requests on a connection was bounded, not the answers in the socket's own outgoing buffer, which Qt lets grow. A page of metrics is some 30 KB and its request 26 bytes.

Fix: above 64 KB of untaken answers the connection's next request isn't read; it goes on as the caller takes them. What is taken counts as activity, so a slow reader isn't cut by the idle time while it reads.

Ruled out: closing at the bound. A caller may read slowly, and one large answer may be over the bound by itself.

HttpServerTest.respond_answersNotTaken_furtherRequestsWait.

--- a/include/eelgrasscleat/Wire/HttpServer.h
+++ b/include/eelgrasscleat/Wire/HttpServer.h
@@ -63,6 +63,8 @@
     std::chrono::milliseconds header { 10000 }; ///< From the first byte of a request's header to its end.
     std::chrono::milliseconds idle { 30000 };
     std::size_t pipelined = 64; ///< Most unanswered requests on a connection; further ones wait unread.
+    /// Bytes of answers that a caller has not taken, above which its further requests wait unread.
+    std::size_t untakenBytes = 65536;
     /// Most memory of all connections together: buffers, incomplete requests, requests that wait for their answers, and
     /// answers that are not taken. Above it connections are closed, first those that hold most.
     std::size_t heldBytes = std::size_t { 512 } * 1024 * 1024;
--- a/lib/Wire/HttpConnection.cpp
+++ b/lib/Wire/HttpConnection.cpp
@@ -89,7 +89,7 @@
         return;
     }
     std::array<char, ReadBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init): read() fills it.
-    while (!m_closing && !m_closed && m_exchanges.size() < m_limits.pipelined) {
+    while (mayRead()) {
         if (!m_input.empty() && parse()) {
             continue;
         }
@@ -100,6 +100,7 @@
         m_lastByte = std::chrono::steady_clock::now();
         m_input.append(buf.data(), static_cast<std::size_t>(n));
     }
+    m_isBlocked = !mayRead();
     // Most connections have nothing left here; the memory of a past piece isn't kept for them.
     m_input.shrink_to_fit();
     updateHeldBytes();
@@ -195,9 +196,19 @@
 void HttpConnection::bytesTaken()
 {
     m_lastTaken = std::chrono::steady_clock::now();
+    if (m_isBlocked && mayRead()) {
+        m_isBlocked = false;
+        readAvailable();
+    }
     updateHeldBytes();
 }
 
+bool HttpConnection::mayRead() const
+{
+    return !m_closing && !m_closed && m_exchanges.size() < m_limits.pipelined
+        && static_cast<std::size_t>(m_socket->bytesToWrite()) <= m_limits.untakenBytes;
+}
+
 void HttpConnection::writeReady()
 {
     const bool wasFull = m_exchanges.size() >= m_limits.pipelined;
@@ -296,7 +307,7 @@
         refuse(HttpRefusal::HeaderTimeout);
         return;
     }
-    if (m_closed || now - m_lastByte < m_limits.idle) {
+    if (m_closed || now - lastMove() < m_limits.idle) {
         return;
     }
     if (m_closing) {
--- a/lib/Wire/HttpConnection.h
+++ b/lib/Wire/HttpConnection.h
@@ -88,6 +88,8 @@
     void discardAvailable();
     void startClosing();
     void bytesTaken();
+    /// @returns whether the next request may be read.
+    [[nodiscard]] bool mayRead() const;
     void updateHeldBytes();
     void setExchangeBytes(Exchange &exchange, std::size_t bytes);
     void disconnected();
@@ -109,6 +111,7 @@
     bool m_closing = false; ///< No more requests are read.
     bool m_draining = false; ///< The last answer is written; what still arrives is dropped until the caller closes.
     bool m_closed = false;
+    bool m_isBlocked = false; ///< Requests wait unread.
 };
 
 } // namespace Eelgrasscleat
--- a/lib/Wire/RequestParser.cpp
+++ b/lib/Wire/RequestParser.cpp
@@ -74,8 +74,7 @@
     return method.capacity() + target.capacity() + fields.heldBytes() + body.capacity();
 }
 
-void RequestParser::on_request_impl(
-    http::verb, string_view methodText, string_view path, int, error_code &)
+void RequestParser::on_request_impl(http::verb, string_view methodText, string_view path, int, error_code &)
 {
     method.assign(methodText.data(), methodText.size());
     target.assign(path.data(), path.size());
--- a/test/test_unruly_clients.py
+++ b/test/test_unruly_clients.py
@@ -4,6 +4,7 @@
 import asyncio
 import unittest
 
+from soak.world import HOST
 from support import crowd
 from support.limited import SEED, CrowdCase, LimitedWorld
 
@@ -40,6 +41,20 @@
         self.check(CLIENTS, crowd.short_lines_before_open_body)
 
 
+class AnswerTest(CrowdCase):
+    """Answers that nobody takes."""
+
+    def test_answers_of_front_port_not_taken_are_bounded(self):
+        request = f"GET /jobs/1/ HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
+        self.check(FEW_CLIENTS, crowd.pipelined(request, 20000))
+
+    def test_answers_of_readiness_port_not_taken_are_bounded(self):
+        self.check(16, crowd.pipelined(b"GET / HTTP/1.1\r\n\r\n", 100000), lambda victim: victim.ready_port)
+
+    def test_answers_of_metrics_port_not_taken_are_bounded(self):
+        self.check(16, crowd.pipelined(b"GET /metrics HTTP/1.1\r\n\r\n", 2000), lambda victim: victim.metrics_port)
+
+
 class CalmTest(CrowdCase):
     """One legal request alone is served, however odd its lines."""
 
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(heldBytes_requestsWithHandlerOverLimit_heaviestClosedFromEventLoop);
     CPPUNIT_TEST(heldBytes_connectionsOverLimit_longestIdleClosed);
     CPPUNIT_TEST(heldBytes_largestRequestAlone_served);
+    CPPUNIT_TEST(respond_answersNotTaken_furtherRequestsWait);
     CPPUNIT_TEST(accept_tooManyConnections_refuses);
     CPPUNIT_TEST(closeAfterAnswers_pendingAndIdle_closesEachWhenAnswered);
     CPPUNIT_TEST_SUITE_END();
@@ -276,6 +277,27 @@
         readUntil(waiting, "done");
     }
 
+    void respond_answersNotTaken_furtherRequestsWait()
+    {
+        constexpr std::size_t answerBytes = 4000000; // Far above what the kernel's buffers take.
+        QTcpSocket &caller = connectCaller();
+        caller.setReadBufferSize(1024);
+        caller.write(post("/a", "1"));
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 1; });
+        respond(0, std::string(answerBytes, 'x'));
+        caller.write(post("/b", "2"));
+        caller.flush();
+        connectCaller().write(post("/c", "3"));
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), m_handler.requests.back().body);
+        caller.setReadBufferSize(0);
+        EventLoop::waitFor([this, &caller] {
+            caller.readAll();
+            return m_handler.requests.size() == 3;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), m_handler.requests.back().body);
+    }
+
     void heldBytes_largestRequestAlone_served()
     {
         m_limits.bodyBytes = 400000;
