A full port makes room for new callers

What callers saw: 600 silent connections, or as many that had been refused, took all descriptors of an instance. Nobody else was accepted, on any of its ports, and its own connections to the store, peers and targets failed.

Cause: the limit of 4,000 connections was above the machine's descriptors; connections over the limit, and refused ones until their client closed them, weren't counted; new callers were refused while silent connections stayed. With no descriptor left Qt calls accept() again without a pause (a trial counted 73,769 calls in 10 s), so the process also took a whole core.

All open connections count. At the limit the one that is closing, or on which nothing has moved for the longest time, makes room; only if all wait for answers is the new one refused, as not run.

Ruled out: QTcpServer::acceptError to accept again later. This Qt doesn't emit it then (tried in a unit test); the limit keeps clients from using up the descriptors.

HttpServerTest.accept_tooManyConnectionsAndOneIdle_idleClosed.

--- a/lib/Wire/HttpConnection.cpp
+++ b/lib/Wire/HttpConnection.cpp
@@ -357,6 +357,11 @@
     return m_closed || (m_exchanges.empty() && m_socket->bytesToWrite() == 0);
 }
 
+bool HttpConnection::isClosing() const
+{
+    return m_closing;
+}
+
 bool HttpConnection::isWaiting() const
 {
     return std::any_of(m_exchanges.begin(), m_exchanges.end(), [](const Exchange &it) { return !it.response; });
--- a/lib/Wire/HttpConnection.h
+++ b/lib/Wire/HttpConnection.h
@@ -63,6 +63,8 @@
 
     [[nodiscard]] bool isClosed() const;
     [[nodiscard]] bool isIdle() const;
+    /// @returns whether no more requests are read.
+    [[nodiscard]] bool isClosing() const;
     /// @returns whether a request of this connection is with the handler.
     [[nodiscard]] bool isWaiting() const;
     /// @returns the memory beyond what every connection takes, in bytes.
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -227,7 +227,7 @@
         while (QTcpSocket *socket = m_server.nextPendingConnection()) {
             removeClosed();
             auto connection = std::make_unique<HttpConnection>(socket, *this, m_limits);
-            if (m_connections.size() >= m_limits.connections) {
+            if (m_open >= m_limits.connections && !closeLeastActive()) {
                 connection->refuse(HttpRefusal::TooManyConnections);
             }
             if (m_closeAfterAnswers) {
@@ -239,6 +239,25 @@
         }
     }
 
+    /// Makes room for another connection. One that waits for an answer is never closed for it.
+    /// @returns whether there was a connection to close.
+    bool closeLeastActive()
+    {
+        const auto rank = [](const HttpConnection &it) {
+            return std::make_tuple(it.isClosing(), -it.lastMove().time_since_epoch());
+        };
+        HttpConnection *first = nullptr;
+        for (const auto &it : m_connections) {
+            if (!it->isClosed() && !it->isWaiting() && (first == nullptr || rank(*it) > rank(*first))) {
+                first = it.get();
+            }
+        }
+        if (first != nullptr) {
+            first->evict();
+        }
+        return first != nullptr;
+    }
+
     /// Closes connections until the others hold no more than allowed.
     void relieve()
     {
--- a/test/test_unruly_clients.py
+++ b/test/test_unruly_clients.py
@@ -55,6 +55,16 @@
         self.check(16, crowd.pipelined(b"GET /metrics HTTP/1.1\r\n\r\n", 2000), lambda victim: victim.metrics_port)
 
 
+class ConnectionTest(CrowdCase):
+    descriptors = 500
+
+    def test_silent_connections_on_http_ports_are_bounded(self):
+        self.check_together([(600, crowd.silence, lambda victim, it=it: victim.ports()[it]) for it in range(3)])
+
+    def test_refused_connections_are_bounded(self):
+        self.check(600, lambda _: iter([b"\0\r\n\r\n"]))
+
+
 class CalmTest(CrowdCase):
     """One legal request alone is served, however odd its lines."""
 
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(heldBytes_largestRequestAlone_served);
     CPPUNIT_TEST(respond_answersNotTaken_furtherRequestsWait);
     CPPUNIT_TEST(accept_tooManyConnections_refuses);
+    CPPUNIT_TEST(accept_tooManyConnectionsAndOneIdle_idleClosed);
     CPPUNIT_TEST(closeAfterAnswers_pendingAndIdle_closesEachWhenAnswered);
     CPPUNIT_TEST_SUITE_END();
 
@@ -307,6 +308,20 @@
         CPPUNIT_ASSERT(m_handler.refusals.empty());
     }
 
+    void accept_tooManyConnectionsAndOneIdle_idleClosed()
+    {
+        for (int i = 0; i < 3; ++i) {
+            connectCaller().write(post("/a", "1"));
+        }
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 3; });
+        QTcpSocket &idle = connectCaller();
+        idle.write("POST / HT");
+        QTcpSocket &late = connectCaller();
+        EventLoop::waitFor([&idle] { return idle.state() == QAbstractSocket::UnconnectedState; });
+        late.write(post("/late", "4"));
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 4; });
+    }
+
 private:
     static QByteArray post(const QByteArray &path, const QByteArray &body)
     {
