What comes to the port for peers takes a bounded memory

What callers saw: an instance ran out of memory, or of descriptors, through its port for other instances, which a client can reach: by the starts of messages of 63 MB, by HTTP/2 pings or settings whose acknowledgements nobody reads, by header blocks without an end, by connections alone.

Cause: incoming connections were unbounded in number; a message of up to 64 MB was collected for each; nghttp2's acknowledgements went to the socket's outgoing buffer without a bound; a session that had ended kept its socket open, and Qt reading into it, for up to a second.

Fix: all incoming connections together have a bound in number and in memory (a quarter of the sockets and an eighth of the memory of the machine). Above it the one with the largest unfinished message is closed, then one on which no whole message has come, so the connections of peers stay. A gauge counts closed connections; at most five lines in a second tell of them.

Ruled out: a smaller largest message. Forwarded submissions of eelgrasscleatd may have 4 MB and more.

--- a/include/eelgrasscleat/Wire/PeerNetwork.h
+++ b/include/eelgrasscleat/Wire/PeerNetwork.h
@@ -11,6 +11,7 @@
 #include <peer.pb.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -40,6 +41,15 @@
     std::chrono::milliseconds unacknowledged { 0 };
 };
 
+/// Bounds on what all incoming connections together can take: anyone who reaches the port can make one.
+struct PeerLimits
+{
+    std::size_t connections = 1024;
+    /// Memory. Above it connections are closed, first those with a large unfinished message, then those on which no
+    /// message has come.
+    std::size_t heldBytes = std::size_t { 256 } * 1024 * 1024;
+};
+
 /// What the network calls, on its own thread.
 class PeerNetworkHandler
 {
@@ -71,7 +81,8 @@
     PeerNetwork(PeerNetworkHandler &handler,
                 PeerId self,
                 std::vector<PeerEndpoint> peers,
-                const PeerTiming &timing = {});
+                const PeerTiming &timing = {},
+                const PeerLimits &limits = {});
     ~PeerNetwork();
     PeerNetwork(const PeerNetwork &) = delete;
     PeerNetwork &operator=(const PeerNetwork &) = delete;
@@ -95,6 +106,8 @@
     [[nodiscard]] bool isFlushed() const;
     /// @returns the bytes so far.
     [[nodiscard]] PeerTraffic traffic() const;
+    /// @returns the number of incoming connections that were closed because of PeerLimits.
+    [[nodiscard]] std::uint64_t connectionsEvicted() const;
 
 private:
     class Impl;
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -35,6 +35,8 @@
 DecisionLog::DecisionLog(Metrics &metrics)
     : m_metrics(metrics)
     , m_sessions(metrics.gauge("eelgrasscleat_peer_sessions", "", "", "Sessions with other instances"))
+    , m_evictedPeers(metrics.gauge(
+          "eelgrasscleat_peer_connections_evicted", "", "", "Connections of peers closed because of limits"))
 {
 }
 
@@ -193,4 +195,9 @@
     m_sessions.Set(static_cast<double>(sessions));
 }
 
+void DecisionLog::setEvictedPeers(std::uint64_t connections)
+{
+    m_evictedPeers.Set(static_cast<double>(connections));
+}
+
 } // namespace Eelgrasscleat
--- a/lib/Node/DecisionLog.h
+++ b/lib/Node/DecisionLog.h
@@ -38,6 +38,8 @@
 
     /// Updates the metric of the number of sessions with peers.
     void setSessions(std::size_t sessions);
+    /// Updates the metric of the connections of peers that were closed because of limits.
+    void setEvictedPeers(std::uint64_t connections);
 
 private:
     /// @returns whether a line may be written, and counts it towards the limit or the dropped lines.
@@ -45,6 +47,7 @@
 
     Metrics &m_metrics;
     prometheus::Gauge &m_sessions;
+    prometheus::Gauge &m_evictedPeers;
     Instant m_windowStart {};
     std::uint32_t m_linesInWindow = 0; ///< Lines written since m_windowStart.
     std::uint32_t m_droppedLines = 0;
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -34,6 +34,12 @@
     return policy;
 }
 
+static PeerLimits peerLimits(const NodeSettings &settings)
+{
+    const PortLimits limits = clientLimits(settings.process).peers;
+    return { limits.connections, limits.heldBytes };
+}
+
 DispatchNode::Impl::Impl(const NodeSettings &settings, TargetCommands &commands, Metrics &metrics, std::uint64_t random)
     : m_settings(settings)
     , m_log(metrics)
@@ -42,7 +48,12 @@
     , m_ownership(settings.ownership)
     , m_evacuations(settings.self.zone, settings.evacuationGrace)
     , m_targets(settings.targetRemovalGrace)
-    , m_peerLink(settings.self, IncarnationId(random), *this, settings.isBootstrap, selectionPolicy(settings))
+    , m_peerLink(settings.self,
+                 IncarnationId(random),
+                 *this,
+                 settings.isBootstrap,
+                 selectionPolicy(settings),
+                 peerLimits(settings))
 {
     m_advanceTimer.setInterval(kAdvanceInterval);
     QObject::connect(&m_advanceTimer, &QTimer::timeout, &m_advanceTimer, [this] {
@@ -130,6 +141,7 @@
     status.zoneTargets = zoneTargets();
     m_peerLink.advance(status, m_router.dispatchersInUse(), m_now);
     m_log.setSessions(m_peerLink.sessions());
+    m_log.setEvictedPeers(m_peerLink.connectionsEvicted());
     m_router.advance(m_now);
     refuseUnconfigured();
     runDeferredCalls();
--- a/lib/Node/PeerLink.cpp
+++ b/lib/Node/PeerLink.cpp
@@ -50,11 +50,12 @@
                    IncarnationId incarnation,
                    PeerEventHandler &events,
                    bool isBootstrap,
-                   const PeerSelectionPolicy &policy)
+                   const PeerSelectionPolicy &policy,
+                   const PeerLimits &limits)
     : m_isSettled(!isBootstrap)
     , m_self(std::move(self))
     , m_events(events)
-    , m_network(*this, PeerId { m_self.name, incarnation }, {}, kPeerTiming)
+    , m_network(*this, PeerId { m_self.name, incarnation }, {}, kPeerTiming, limits)
     , m_selector(policy, { m_self.name, m_self.zone, m_self.capacity }, incarnation.value)
 {
 }
--- a/lib/Node/PeerLink.h
+++ b/lib/Node/PeerLink.h
@@ -65,7 +65,8 @@
              IncarnationId incarnation,
              PeerEventHandler &events,
              bool isBootstrap = false,
-             const PeerSelectionPolicy &policy = {});
+             const PeerSelectionPolicy &policy = {},
+             const PeerLimits &limits = {});
 
     Result<Done> start();
     /// Adds an instance, or updates its address.
@@ -90,6 +91,11 @@
     {
         return m_peers.size();
     }
+    /// @returns the number of incoming connections that were closed because of the limits.
+    [[nodiscard]] std::uint64_t connectionsEvicted() const
+    {
+        return m_network.connectionsEvicted();
+    }
     /// @returns the peers to which messages can be sent, in the order of their names.
     [[nodiscard]] std::vector<InstanceName> connectedPeers() const;
     /// @returns the known state of the other instances in this instance's zone.
--- a/lib/Wire/Http2Session.cpp
+++ b/lib/Wire/Http2Session.cpp
@@ -15,6 +15,9 @@
 /// Window of received bytes for a connection and a stream; messages are small and taken at once.
 static constexpr std::int32_t WindowBytes = 1 << 20;
 
+/// Most bytes of acknowledgements and the like that the other side of a server's connection may leave untaken.
+static constexpr qint64 UntakenBytes = 65536;
+
 /// Functions that nghttp2 calls.
 struct Http2Session::Callbacks
 {
@@ -58,6 +61,7 @@
 
 Http2Session::Http2Session(QTcpSocket &socket, Http2Side side, Http2SessionOwner &owner)
     : m_socket(socket)
+    , m_side(side)
     , m_owner(owner)
 {
     nghttp2_session_callbacks *callbacks = nullptr;
@@ -153,6 +157,10 @@
         if (size == 0) {
             break;
         }
+        if (m_side == Http2Side::Server && m_socket.bytesToWrite() > UntakenBytes) {
+            end("answers not taken");
+            return;
+        }
         m_socket.write(reinterpret_cast<const char *>(data), size);
     }
     if (!m_ended && nghttp2_session_want_read(m_session) == 0 && nghttp2_session_want_write(m_session) == 0) {
--- a/lib/Wire/Http2Session.h
+++ b/lib/Wire/Http2Session.h
@@ -61,6 +61,7 @@
 
     QObject m_context;
     QTcpSocket &m_socket;
+    Http2Side m_side;
     Http2SessionOwner &m_owner;
     nghttp2_session *m_session = nullptr;
     std::int32_t m_stream = -1;
--- a/lib/Wire/MessageFramer.cpp
+++ b/lib/Wire/MessageFramer.cpp
@@ -22,6 +22,9 @@
 void MessageFramer::add(std::string_view bytes)
 {
     if (m_used == m_buffer.size()) {
+        if (m_buffer.capacity() > CompactBytes) {
+            m_buffer = {};
+        }
         m_buffer.clear();
         m_used = 0;
     } else if (m_used > CompactBytes) {
@@ -54,6 +57,11 @@
     return FrameRead::Message;
 }
 
+std::size_t MessageFramer::heldBytes() const
+{
+    return m_buffer.capacity();
+}
+
 std::string MessageFramer::frame(const schema::PeerMessage &message)
 {
     std::ostringstream out;
--- a/lib/Wire/MessageFramer.h
+++ b/lib/Wire/MessageFramer.h
@@ -29,6 +29,8 @@
     void add(std::string_view bytes);
     /// Takes the next message, if it is complete.
     FrameRead take(schema::PeerMessage &message);
+    /// @returns the memory of what has been received and not taken, in bytes.
+    [[nodiscard]] std::size_t heldBytes() const;
     /// @returns the bytes that stand for @p message in the stream.
     static std::string frame(const schema::PeerMessage &message);
 
--- a/lib/Wire/PeerNetwork.cpp
+++ b/lib/Wire/PeerNetwork.cpp
@@ -3,7 +3,10 @@
 #include <eelgrasscleat/Wire/PeerNetwork.h>
 #include <eelgrasscleat/Wire/QtText.h>
 
+#include <eelgrasscleat/Support/LogThrottle.h>
+
 #include "Http2Session.h"
+#include "IncomingPeer.h"
 #include "MessageFramer.h"
 
 #include <QElapsedTimer>
@@ -18,6 +21,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace Eelgrasscleat
@@ -181,93 +185,27 @@
     std::uint64_t m_bytesSent = 0;
 };
 
-/// A connection that a peer made to this instance.
-class IncomingPeer : public Http2SessionOwner
-{
-public:
-    IncomingPeer(QTcpSocket *socket, PeerNetworkHandler &handler)
-        : m_handler(handler)
-        , m_socket(socket)
-        , m_address(socket->peerAddress().toString().toStdString() + ":" + std::to_string(socket->peerPort()))
-        , m_session(*socket, Http2Side::Server, *this)
-    {
-    }
-
-    ~IncomingPeer() override
-    {
-        m_socket->disconnect();
-        m_socket->abort();
-        m_socket->deleteLater();
-    }
-
-    IncomingPeer(const IncomingPeer &) = delete;
-    IncomingPeer &operator=(const IncomingPeer &) = delete;
-
-    void bodyArrived(std::int32_t, std::string_view bytes) override
-    {
-        m_bytesReceived += bytes.size();
-        if (m_ended) {
-            return;
-        }
-        m_framer.add(bytes);
-        schema::PeerMessage message;
-        FrameRead read = m_framer.take(message);
-        while (read == FrameRead::Message && !m_ended) {
-            m_handler.peerMessageArrived(std::move(message));
-            message.Clear();
-            read = m_framer.take(message);
-        }
-        if (read == FrameRead::Broken) {
-            m_handler.peerProtocolError(Error { ErrorCode::Invalid, Step::PeerStream, m_address, "broken message" });
-            m_session.end("broken message");
-        }
-    }
-
-    void sessionEnded(const std::string &) override
-    {
-        m_ended = true;
-    }
-
-    /// Delivers nothing more, and closes from the event loop: the caller may be inside one of its signals.
-    void reset()
-    {
-        m_ended = true;
-        QMetaObject::invokeMethod(m_socket, &QAbstractSocket::abort, Qt::QueuedConnection);
-    }
-
-    [[nodiscard]] bool hasEnded() const
-    {
-        return m_ended;
-    }
-
-    [[nodiscard]] std::uint64_t bytesReceived() const
-    {
-        return m_bytesReceived;
-    }
+/// Most reports in a second of connections that were closed because of what came on them.
+static constexpr std::uint32_t ErrorReportsPerSecond = 5;
 
-private:
-    PeerNetworkHandler &m_handler;
-    QTcpSocket *m_socket;
-    std::string m_address;
-    bool m_ended = false;
-    std::uint64_t m_bytesReceived = 0;
-    MessageFramer m_framer;
-    Http2Session m_session;
-};
+/// A connection that holds less is never closed because of its size: messages are smaller.
+static constexpr std::size_t SmallBytes = std::size_t { 1024 } * 1024;
 
-class PeerNetwork::Impl
+class PeerNetwork::Impl : public IncomingPeerOwner
 {
 public:
-    Impl(PeerNetworkHandler &handler, PeerId self, std::vector<PeerEndpoint> peers, const PeerTiming &timing)
+    Impl(PeerNetworkHandler &handler,
+         PeerId self,
+         std::vector<PeerEndpoint> peers,
+         const PeerTiming &timing,
+         const PeerLimits &limits)
         : m_handler(handler)
         , m_self(std::move(self))
         , m_endpoints(std::move(peers))
         , m_timing(timing)
+        , m_limits(limits)
     {
         QObject::connect(&m_server, &QTcpServer::newConnection, &m_context, [this] { acceptAll(); });
-        m_sweep.setInterval(std::chrono::seconds(1));
-        QObject::connect(&m_sweep, &QTimer::timeout, &m_context, [this] { removeEnded(); });
-        m_sweep.start();
     }
 
     Result<std::uint16_t> start(const std::string &address, std::uint16_t port)
@@ -352,16 +290,80 @@
         return traffic;
     }
 
+    [[nodiscard]] std::uint64_t connectionsEvicted() const
+    {
+        return m_evicted;
+    }
+
+    void messageArrived(schema::PeerMessage message) override
+    {
+        m_handler.peerMessageArrived(std::move(message));
+    }
+
+    void protocolBroken(const Error &error) override
+    {
+        if (m_throttle.admit(std::chrono::steady_clock::now())) {
+            m_handler.peerProtocolError(error);
+        }
+    }
+
+    void heldBytesChanged(std::ptrdiff_t change) override
+    {
+        m_heldBytes += static_cast<std::size_t>(change);
+        while (change > 0 && m_heldBytes > m_limits.heldBytes && evictOne()) { }
+    }
+
+    void incomingEnded() override
+    {
+        if (!m_isRemovalDue) {
+            m_isRemovalDue = true;
+            QMetaObject::invokeMethod(
+                &m_context, [this] { removeEnded(); }, Qt::QueuedConnection);
+        }
+    }
+
 private:
     void acceptAll()
     {
         while (QTcpSocket *socket = m_server.nextPendingConnection()) {
-            m_incoming.push_back(std::make_unique<IncomingPeer>(socket, m_handler));
+            if (m_incoming.size() >= m_limits.connections) {
+                removeEnded();
+            }
+            if (m_incoming.size() >= m_limits.connections) {
+                evictOne();
+                removeEnded();
+            }
+            m_incoming.push_back(std::make_unique<IncomingPeer>(socket, *this));
+        }
+    }
+
+    /// Closes the connection with the largest unfinished message; without large ones one that has never delivered a
+    /// message; else the one whose latest message is the oldest.
+    /// @returns whether there was one.
+    bool evictOne()
+    {
+        const auto rank = [](const IncomingPeer &it) {
+            const std::size_t large = it.heldBytes() > SmallBytes ? it.heldBytes() : 0;
+            return std::make_tuple(large, !it.hasDelivered(), -it.lastMessage().time_since_epoch());
+        };
+        IncomingPeer *first = nullptr;
+        for (const auto &it : m_incoming) {
+            if (!it->hasEnded() && (first == nullptr || rank(*it) > rank(*first))) {
+                first = it.get();
+            }
         }
+        if (first == nullptr) {
+            return false;
+        }
+        ++m_evicted;
+        protocolBroken(Error { ErrorCode::Refused, Step::PeerStream, first->address(), "closed to free memory" });
+        first->reset();
+        return true;
     }
 
     void removeEnded()
     {
+        m_isRemovalDue = false;
         std::erase_if(m_incoming, [this](const auto &it) {
             m_receivedByEnded += it->hasEnded() ? it->bytesReceived() : 0;
             return it->hasEnded();
@@ -372,10 +374,14 @@
     PeerId m_self;
     std::vector<PeerEndpoint> m_endpoints;
     PeerTiming m_timing;
+    PeerLimits m_limits;
+    LogThrottle m_throttle { ErrorReportsPerSecond };
     bool m_started = false;
+    bool m_isRemovalDue = false;
+    std::size_t m_heldBytes = 0; ///< Of all incoming connections.
+    std::uint64_t m_evicted = 0;
     QObject m_context;
     QTcpServer m_server;
-    QTimer m_sweep;
     std::map<InstanceName, std::unique_ptr<OutgoingPeer>> m_outgoing;
     std::vector<std::unique_ptr<IncomingPeer>> m_incoming;
     std::uint64_t m_receivedByEnded = 0;
@@ -384,8 +390,9 @@
 PeerNetwork::PeerNetwork(PeerNetworkHandler &handler,
                          PeerId self,
                          std::vector<PeerEndpoint> peers,
-                         const PeerTiming &timing)
-    : m_impl(std::make_unique<Impl>(handler, std::move(self), std::move(peers), timing))
+                         const PeerTiming &timing,
+                         const PeerLimits &limits)
+    : m_impl(std::make_unique<Impl>(handler, std::move(self), std::move(peers), timing, limits))
 {
 }
 
@@ -431,4 +438,9 @@
     return m_impl->traffic();
 }
 
+std::uint64_t PeerNetwork::connectionsEvicted() const
+{
+    return m_impl->connectionsEvicted();
+}
+
 } // namespace Eelgrasscleat
--- a/lib/Wire/RequestParser.h
+++ b/lib/Wire/RequestParser.h
@@ -56,8 +56,8 @@
     using string_view = boost::beast::string_view;
     using error_code = boost::beast::error_code;
 
-    void on_request_impl(boost::beast::http::verb verb, string_view methodText, string_view path, int version, error_code &ec)
-        override;
+    void on_request_impl(
+        boost::beast::http::verb verb, string_view methodText, string_view path, int version, error_code &ec) override;
     void on_response_impl(int code, string_view reason, int version, error_code &ec) override;
     void on_field_impl(boost::beast::http::field field, string_view name, string_view value, error_code &ec) override;
     void on_header_impl(error_code &ec) override;
--- a/test/test_unruly_clients.py
+++ b/test/test_unruly_clients.py
@@ -58,8 +58,8 @@
 class ConnectionTest(CrowdCase):
     descriptors = 500
 
-    def test_silent_connections_on_http_ports_are_bounded(self):
-        self.check_together([(600, crowd.silence, lambda victim, it=it: victim.ports()[it]) for it in range(3)])
+    def test_silent_connections_on_all_ports_are_bounded(self):
+        self.check_together([(600, crowd.silence, lambda victim, it=it: victim.ports()[it]) for it in range(4)])
 
     def test_refused_connections_are_bounded(self):
         self.check(600, lambda _: iter([b"\0\r\n\r\n"]))
--- a/unittests/Wire/PeerNetworkTest.cpp
+++ b/unittests/Wire/PeerNetworkTest.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(send_peerRestarted_connectsAgain);
     CPPUNIT_TEST(hurry_peerBackDuringLongPause_connectsAtOnce);
     CPPUNIT_TEST(receive_garbage_harmsNoOtherPeer);
+    CPPUNIT_TEST(accept_tooManyConnections_silentOneClosed);
     CPPUNIT_TEST(resetConnections_fromHandler_deliversNothingMore);
     CPPUNIT_TEST(setPeers_peerRemoved_disconnectsIt);
     CPPUNIT_TEST_SUITE_END();
@@ -159,6 +160,22 @@
         EventLoop::waitFor([this] { return m_receiverHandler.messages.size() == 1; });
     }
 
+    void accept_tooManyConnections_silentOneClosed()
+    {
+        m_sender->send(m_peer, numbered(1));
+        EventLoop::waitFor([this] { return m_receiverHandler.messages.size() == 1; });
+        std::vector<std::unique_ptr<QTcpSocket>> strangers;
+        for (std::size_t i = 0; i < MostConnections; ++i) {
+            strangers.push_back(std::make_unique<QTcpSocket>());
+            strangers.back()->connectToHost(QHostAddress::LocalHost, m_port);
+        }
+        EventLoop::waitFor([&] { return strangers.front()->state() == QAbstractSocket::UnconnectedState; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, m_receiver->connectionsEvicted());
+        m_sender->send(m_peer, numbered(2));
+        EventLoop::waitFor([this] { return m_receiverHandler.messages.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(1, m_senderHandler.streams);
+    }
+
     void resetConnections_fromHandler_deliversNothingMore()
     {
         m_receiverHandler.onMessage = [this] { m_receiver->resetConnections(); };
@@ -182,10 +199,17 @@
     }
 
 private:
+    static constexpr std::size_t MostConnections = 8;
+
     void startReceiver(std::uint16_t port)
     {
-        m_receiver = std::make_unique<PeerNetwork>(
-            m_receiverHandler, PeerId { m_peer, IncarnationId(8) }, std::vector<PeerEndpoint> {});
+        PeerLimits limits;
+        limits.connections = MostConnections;
+        m_receiver = std::make_unique<PeerNetwork>(m_receiverHandler,
+                                                   PeerId { m_peer, IncarnationId(8) },
+                                                   std::vector<PeerEndpoint> {},
+                                                   PeerTiming {},
+                                                   limits);
         m_port = std::get<std::uint16_t>(m_receiver->start("127.0.0.1", port));
     }
 
