Requests that wait take a bounded memory

What callers saw: an instance ran out of memory while it held jobs whose callers wait: 400 jobs with a text of 256 KB, or with 540 steps that each name one predecessor 200 times.

Cause: the number of open jobs was bounded (4,000), not what they take: a job is held several times on its way to dispatchers, a step kept each repetition of a predecessor, and each start of a task carries the payload, whose length nothing limited.

A dispatcher's jobs, of callers and of peers, have a bound of their own, an eighth of the machine's memory; further ones are refused as queue_full, not run. The log line for rejected requests is bounded in rate and length.

Ruled out: fewer open jobs, which ordinary small jobs would meet in a burst.

--- a/include/eelgrasscleat/Dispatch/Dispatcher.h
+++ b/include/eelgrasscleat/Dispatch/Dispatcher.h
@@ -49,6 +49,8 @@
     CrashPolicy crashes;
     /// Maximum number of queued tasks; further jobs are refused. Bounds memory: a task takes about 100 bytes.
     std::uint32_t maxQueuedTasks = 20000;
+    /// Maximum memory of all jobs, in bytes; further jobs are refused.
+    std::size_t maxJobBytes = std::size_t { 256 } * 1024 * 1024;
 };
 
 /// Submitter of a job: the home instance, which holds the caller's connection, within one session with it.
--- a/include/eelgrasscleat/Dispatch/JobRouter.h
+++ b/include/eelgrasscleat/Dispatch/JobRouter.h
@@ -36,6 +36,10 @@
     Duration evacuationRetryDelay = std::chrono::milliseconds(2000);
 };
 
+/// @returns the memory that a job takes until its caller is answered, with the copies on their way to dispatchers, in
+/// bytes.
+std::size_t openJobBytes(const JobRequest &request);
+
 /// Receives the decisions of a JobRouter. Implementations must not call back into the router.
 class JobRouterObserver
 {
--- a/include/eelgrasscleat/Dispatch/JobTypes.h
+++ b/include/eelgrasscleat/Dispatch/JobTypes.h
@@ -6,6 +6,7 @@
 #include <eelgrasscleat/Support/Time.h>
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -73,6 +74,9 @@
     bool othersAccepted = false;
 };
 
+/// @returns the memory of one copy of @p request, with an entry for each of its tasks, in bytes.
+std::size_t heldBytes(const JobRequest &request);
+
 /// @returns the caller's estimate of the job's run time if its steps run one after the other.
 Duration sequentialEstimate(const JobRequest &request);
 
--- a/include/eelgrasscleat/Node/ClientLimits.h
+++ b/include/eelgrasscleat/Node/ClientLimits.h
@@ -28,6 +28,7 @@
     PortLimits callers;
     PortLimits peers; ///< Connections that peers make to this instance.
     PortLimits status; ///< Readiness, and the same again for metrics.
+    std::size_t jobBytes = 0; ///< Memory of the jobs that this instance dispatches, of callers and of peers.
 };
 
 /// Divides a process's capacity among the ports. The rest stays for the process itself and for its own connections.
--- a/include/eelgrasscleat/Node/DispatchNode.h
+++ b/include/eelgrasscleat/Node/DispatchNode.h
@@ -23,6 +23,8 @@
     InstanceRegistration self;
     ProcessCapacity process;
     bool isBootstrap = false; ///< The whole deployment starts for the first time.
+    /// Longest payload of a job, in bytes: each start of a task carries it. Four bytes for each of 4,000 characters.
+    std::size_t maxPayloadBytes = 16000;
     DispatcherPolicy dispatcher;
     JobRouterPolicy router;
     OwnershipPolicy ownership;
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -52,7 +52,9 @@
         refuse(origin, id, JobEndReason::NoSuitableTarget, kMaxRetryDelay);
         return;
     }
-    if (m_jobTable.queuedWork(request.priority).tasks >= m_policy.maxQueuedTasks) {
+    const bool isFull = m_jobTable.queuedWork(request.priority).tasks >= m_policy.maxQueuedTasks
+        || m_jobTable.heldBytes() + heldBytes(request) > m_policy.maxJobBytes;
+    if (isFull) {
         refuse(origin, id, JobEndReason::QueueFull, expectedWait(request, now));
         return;
     }
--- a/lib/Dispatch/JobRouter.cpp
+++ b/lib/Dispatch/JobRouter.cpp
@@ -36,6 +36,13 @@
 
 } // namespace
 
+std::size_t openJobBytes(const JobRequest &request)
+{
+    // The job itself, its parts, and the messages or calls that carry them.
+    constexpr std::size_t kCopies = 4;
+    return kCopies * heldBytes(request);
+}
+
 JobRouter::JobRouter(const JobRouterPolicy &policy, ZoneName zone, JobRouterObserver &observer)
     : m_policy(policy)
     , m_zone(std::move(zone))
--- a/lib/Dispatch/JobTable.cpp
+++ b/lib/Dispatch/JobTable.cpp
@@ -128,6 +128,8 @@
         job->remainingTasks += it.tasks;
     }
     job->request = std::move(request);
+    job->heldBytes = Eelgrasscleat::heldBytes(job->request);
+    m_heldBytes += job->heldBytes;
     ActiveJob &added = *job;
     m_byOrigin[{ origin.home, origin.ticket }] = added.number;
     m_byId[added.request.id] = added.number;
@@ -153,6 +155,7 @@
     if (byId != m_byId.end() && byId->second == number) {
         m_byId.erase(byId);
     }
+    m_heldBytes -= job.heldBytes;
     m_jobs.erase(it);
 }
 
--- a/lib/Dispatch/JobTable.h
+++ b/lib/Dispatch/JobTable.h
@@ -58,6 +58,7 @@
     std::uint32_t readyTasks = 0;
     std::uint32_t possibleRuns = 0; ///< Start commands that may have had an effect.
     Duration criticalPath {}; ///< Expected run time of its critical path on the reference target.
+    std::size_t heldBytes = 0; ///< Memory of the request, as counted by the table.
     Instant objectiveAt {}; ///< Completion by this time meets the latency objective.
     Instant usefulUntil {}; ///< Completion after this time is of no use to the caller.
     Duration lateEnd {}; ///< See JobEnd::lateEnd.
@@ -129,6 +130,11 @@
     void recordArrival(const JobRequest &request, Instant now);
     /// @returns the recent arrival rate of work more urgent than @p priority, in thousandths of a core.
     [[nodiscard]] double moreUrgentArrivals(std::uint32_t priority, Instant now) const;
+    /// @returns the memory of all jobs, in bytes.
+    [[nodiscard]] std::size_t heldBytes() const
+    {
+        return m_heldBytes;
+    }
     [[nodiscard]] const std::map<JobNumber, std::unique_ptr<ActiveJob>> &jobs() const
     {
         return m_jobs;
@@ -172,6 +178,7 @@
     std::map<RouteName, SizeModel> m_sizes;
     ServedShares m_served;
     std::uint64_t m_lastNumber = 0;
+    std::size_t m_heldBytes = 0;
 };
 
 } // namespace Eelgrasscleat
--- a/lib/Dispatch/JobTypes.cpp
+++ b/lib/Dispatch/JobTypes.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// Memory of a task's entry in the tables of a dispatcher, in bytes.
+constexpr std::size_t kTaskBytes = 128;
+
 constexpr std::array<std::string_view, 6> kJobOutcomeNames = {
     "complete", "failed", "refused", "abandoned", "expired", "canceled",
 };
@@ -79,6 +82,17 @@
     return nameAt(kCommandStatusNames, static_cast<std::size_t>(status));
 }
 
+std::size_t heldBytes(const JobRequest &request)
+{
+    std::size_t bytes = sizeof(JobRequest) + request.id.value.capacity() + request.route.value.capacity()
+        + request.service.value.capacity() + request.requestId.capacity() + request.payload.capacity();
+    for (const JobStep &it : request.steps) {
+        bytes += sizeof(JobStep) + it.predecessors.capacity() * sizeof(it.predecessors.front())
+            + it.requiredLabel.capacity() + it.preferredRack.capacity() + it.tasks * kTaskBytes;
+    }
+    return bytes;
+}
+
 Duration sequentialEstimate(const JobRequest &request)
 {
     Duration sum {};
--- a/lib/Node/ClientLimits.cpp
+++ b/lib/Node/ClientLimits.cpp
@@ -14,9 +14,10 @@
 constexpr ProcessCapacity kUnknownCapacity { std::uint64_t { 256 } * 1024 * 1024, 4096 };
 /// Descriptors that a machine keeps for files.
 constexpr std::uint32_t kFileDescriptors = 200;
-/// Parts of the memory: a third for callers, and an eighth for peers.
+/// Parts of the memory: a third for callers, an eighth for peers, and an eighth for jobs.
 constexpr std::uint64_t kCallerMemoryParts = 3;
 constexpr std::uint64_t kPeerMemoryParts = 8;
+constexpr std::uint64_t kJobMemoryParts = 8;
 /// Parts of the descriptors: half for callers, and a quarter for peers.
 constexpr std::uint32_t kCallerDescriptorParts = 2;
 constexpr std::uint32_t kPeerDescriptorParts = 4;
@@ -39,6 +40,7 @@
     limits.callers = { memory / kCallerMemoryParts, connections(kCallerDescriptorParts) };
     limits.peers = { memory / kPeerMemoryParts, connections(kPeerDescriptorParts) };
     limits.status = kStatusLimits;
+    limits.jobBytes = memory / kJobMemoryParts;
     return limits;
 }
 
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -14,6 +14,8 @@
 
 /// A line costs about 2 us, so logging takes at most 0.3% of a core.
 constexpr std::uint32_t kMaxLinesPerSecond = 1500;
+/// Most bytes of a text that a caller chooses in a log line.
+constexpr std::size_t kMaxLoggedBytes = 256;
 
 std::string milliseconds(Duration duration)
 {
@@ -178,6 +180,19 @@
     writeLog(LogLevel::Info, event, fields);
 }
 
+void DecisionLog::requestRejected(const JobId &id, const std::string &requestId, const std::string &detail, Instant now)
+{
+    m_metrics
+        .counter("eelgrasscleat_changes_total", "what", "request rejected", "Changed beliefs about the surroundings")
+        .Increment();
+    if (acquireLine(now)) {
+        const auto cut = [](const std::string &text) { return text.substr(0, kMaxLoggedBytes); };
+        writeLog(LogLevel::Info,
+                 "request rejected",
+                 { { "job", cut(id.value) }, { "request", cut(requestId) }, { "detail", cut(detail) } });
+    }
+}
+
 void DecisionLog::recordRejected(const Error &error, Instant now)
 {
     const std::string step(stepName(error.step));
--- a/lib/Node/DispatchNode.cpp
+++ b/lib/Node/DispatchNode.cpp
@@ -34,6 +34,13 @@
     return policy;
 }
 
+static DispatcherPolicy dispatcherPolicy(const NodeSettings &settings)
+{
+    DispatcherPolicy policy = settings.dispatcher;
+    policy.maxJobBytes = clientLimits(settings.process).jobBytes;
+    return policy;
+}
+
 static PeerLimits peerLimits(const NodeSettings &settings)
 {
     const PortLimits limits = clientLimits(settings.process).peers;
@@ -43,7 +50,7 @@
 DispatchNode::Impl::Impl(const NodeSettings &settings, TargetCommands &commands, Metrics &metrics, std::uint64_t random)
     : m_settings(settings)
     , m_log(metrics)
-    , m_dispatcher(settings.dispatcher, commands, *this)
+    , m_dispatcher(dispatcherPolicy(settings), commands, *this)
     , m_router(settings.router, settings.self.zone, *this)
     , m_ownership(settings.ownership)
     , m_evacuations(settings.self.zone, settings.evacuationGrace)
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -106,18 +106,20 @@
     const bool isSound = !id.isEmpty() && id.value.size() <= kMaxJobIdBytes && isPrintableUtf8(id.value);
     if (job == nullptr || !isSound) {
         const auto *error = std::get_if<Error>(&request.job);
-        m_log.recordEvent("request rejected",
-                          { { "job", id.value },
-                            { "request", request.requestId },
-                            { "detail", error != nullptr ? error->detail : "the path contains no sound job id" } });
+        m_log.requestRejected(
+            id, request.requestId, error != nullptr ? error->detail : "the path contains no sound job id", m_now);
         const bool unsupported = error != nullptr && error->code == ErrorCode::Refused;
         refuse(request, id, unsupported ? JobEndReason::Unsupported : JobEndReason::Malformed);
         return;
     }
+    if (job->payload.size() > m_settings.maxPayloadBytes) {
+        m_log.requestRejected(id, request.requestId, "the payload is too long", m_now);
+        refuse(request, id, JobEndReason::Malformed);
+        return;
+    }
     if (request.mustBeStored || route->needsStartTickets) {
         const char *detail = request.mustBeStored ? "storing jobs not supported" : "start tickets not supported";
-        m_log.recordEvent("request rejected",
-                          { { "job", id.value }, { "request", request.requestId }, { "detail", detail } });
+        m_log.requestRejected(id, request.requestId, detail, m_now);
         refuse(request, id, JobEndReason::Unsupported);
         return;
     }
--- a/test/test_unruly_clients.py
+++ b/test/test_unruly_clients.py
@@ -4,6 +4,7 @@
 import asyncio
 import unittest
 
+from soak.checks import Job
 from soak.world import HOST
 from support import crowd
 from support.limited import SEED, CrowdCase, LimitedWorld
@@ -55,6 +56,25 @@
         self.check(16, crowd.pipelined(b"GET /metrics HTTP/1.1\r\n\r\n", 2000), lambda victim: victim.metrics_port)
 
 
+class WaitingTest(CrowdCase):
+    """Requests that were read and wait for their tasks."""
+
+    leaves_room = False
+
+    def prepare(self, world):
+        for it in range(CLIENTS):
+            job = Job(f"{it:016x}", self._text, 9, 32000, 3.0, 1)
+            world.checks.jobs[job.id] = job
+
+    def test_large_jobs_that_wait_are_bounded(self):
+        self._text = crowd.LONG_TEXT.decode()
+        self.check(CLIENTS, crowd.job_with_long_text)
+
+    def test_jobs_of_many_steps_that_wait_are_bounded(self):
+        self._text = crowd.LEGAL_TEXT.decode()
+        self.check(CLIENTS, crowd.job_of_many_steps)
+
+
 class ConnectionTest(CrowdCase):
     descriptors = 500
 
--- a/unittests/Node/DispatchNodeTest.cpp
+++ b/unittests/Node/DispatchNodeTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(job_unknownRoute_refusedWithReason);
     CPPUNIT_TEST(job_oddId_refusedAsMalformed);
     CPPUNIT_TEST(job_routeNeedsStartTickets_refusedAsUnsupported);
+    CPPUNIT_TEST(job_payloadTooLong_refusedAsMalformed);
     CPPUNIT_TEST(request_beforeConfiguration_refusedWithNoConfiguration);
     CPPUNIT_TEST(evacuation_ownZone_jobsRefusedAndStartsEnd);
     CPPUNIT_TEST(evacuation_takenBack_jobsServedAgain);
@@ -135,6 +136,21 @@
         CPPUNIT_ASSERT(m_targets.started.empty());
     }
 
+    void job_payloadTooLong_refusedAsMalformed()
+    {
+        waitUntilReady();
+        CallerRequest request = submission(1, "job", 1000);
+        request.host = "host";
+        std::get<JobRequest>(request.job).payload = std::string(NodeSettings().maxPayloadBytes + 1, 'x');
+        m_node->callerEvents().requestReceived(request);
+        CPPUNIT_ASSERT(m_callers.ends.at(1).outcome == JobOutcome::Refused);
+        CPPUNIT_ASSERT(m_callers.ends.at(1).reason == JobEndReason::Malformed);
+        std::get<JobRequest>(request.job).payload.pop_back();
+        request.caller = CallerId(2);
+        m_node->callerEvents().requestReceived(request);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_callers.ends.count(2));
+    }
+
     void request_beforeConfiguration_refusedWithNoConfiguration()
     {
         std::uint64_t caller = 0;
