The operators' port takes a bounded memory

What operators saw: one request with a body without an end on the operators' port of eelgrasscleatd took memory as long as it was sent.

Cause: Qt's HTTP server collects a request whole, and this version has no limit for any part of it.

Fix: the port is served by our own server, with 1 KB of a body, 64 connections and 16 MB for all; a counter and bounded log lines tell of refusals. Qt's HTTP server was used nowhere else, so its packages are no longer needed.

Ruled out: a limit in front of Qt's server; it parses before it asks.

Evidence, integration.unruly_entry (120 clients, 120 MB): before 404,564 KB, passes now. integration.operator, bad_input and configuration, which use /ready, /metrics and /status, pass.

--- a/lib/Entry/OperatorServer.cpp
+++ b/lib/Entry/OperatorServer.cpp
@@ -1,63 +1,96 @@
 /// @file
-/// Routes of the operators' interface, on Qt's HTTP server.
+/// Paths of the operators' interface.
 #include "OperatorServer.h"
 
-#include <eelgrasscleat/Wire/QtText.h>
+#include <eelgrasscleat/Support/Log.h>
 
-#include <QHostAddress>
-#include <QHttpServer>
-#include <QHttpServerResponse>
+#include <prometheus/counter.h>
 
 #include <utility>
 
 namespace Eelgrasscleat
 {
 
-static QHttpServerResponse
-textResponse(const char *type, const std::string &body, QHttpServerResponse::StatusCode status)
+static constexpr unsigned Ok = 200;
+static constexpr unsigned NotFound = 404;
+static constexpr unsigned Unavailable = 503;
+
+/// Requests of operators have no body, and few connections ask at once.
+static HttpServerLimits operatorLimits()
 {
-    return QHttpServerResponse(type, QByteArray(body.data(), static_cast<qsizetype>(body.size())), status);
+    HttpServerLimits limits;
+    limits.bodyBytes = 1024;
+    limits.connections = 64;
+    limits.heldBytes = std::size_t { 16 } * 1024 * 1024;
+    return limits;
 }
 
-OperatorServer::OperatorServer(const schema::EntrySettings &settings,
-                               const std::atomic<bool> &ready,
-                               const Metrics &metrics)
+static HttpResponse textResponse(const char *type, std::string body, unsigned status = Ok)
+{
+    HttpResponse response;
+    response.status = status;
+    response.contentType = type;
+    response.body = std::move(body);
+    return response;
+}
+
+OperatorServer::OperatorServer(const schema::EntrySettings &settings, const std::atomic<bool> &ready, Metrics &metrics)
     : m_settings(settings)
     , m_ready(ready)
     , m_metrics(metrics)
-    , m_server(std::make_unique<QHttpServer>())
+    , m_server(std::make_unique<HttpServer>(*this, operatorLimits()))
 {
     m_status.json = "{}";
-    addRoutes();
 }
 
 OperatorServer::~OperatorServer() = default;
 
-void OperatorServer::addRoutes()
+HttpResponse OperatorServer::answer(std::string_view path) const
 {
-    using Status = QHttpServerResponse::StatusCode;
-    m_server->route(QStringLiteral("/health"), [] { return textResponse("text/plain", "ok\n", Status::Ok); });
-    m_server->route(QStringLiteral("/ready"), [this] {
+    if (path == "/health") {
+        return textResponse("text/plain", "ok\n");
+    }
+    if (path == "/ready") {
         const bool ready = m_ready.load();
-        return textResponse(
-            "text/plain", ready ? "ready\n" : "not ready\n", ready ? Status::Ok : Status::ServiceUnavailable);
-    });
-    m_server->route(QStringLiteral("/metrics"),
-                    [this] { return textResponse("text/plain; version=0.0.4", m_metrics.text(), Status::Ok); });
-    m_server->route(QStringLiteral("/status"),
-                    [this] { return textResponse("application/json", m_status.json, Status::Ok); });
+        return textResponse("text/plain", ready ? "ready\n" : "not ready\n", ready ? Ok : Unavailable);
+    }
+    if (path == "/metrics") {
+        return textResponse("text/plain; version=0.0.4", m_metrics.text());
+    }
+    if (path == "/status") {
+        return textResponse("application/json", m_status.json);
+    }
+    return textResponse("text/plain", "not found\n", NotFound);
+}
+
+void OperatorServer::requestReceived(HttpRequest request)
+{
+    const std::string_view target(request.target);
+    m_server->respond(request.id, answer(target.substr(0, target.find('?'))));
+}
+
+void OperatorServer::callerGone(CallerId)
+{
+    // Every request is answered at once.
+}
+
+void OperatorServer::refused(HttpRefusal refusal, const std::string &peer)
+{
+    const std::string reason(httpRefusalName(refusal));
+    m_metrics
+        .counter(
+            "eelgrasscleat_operator_refusals_total", "reason", reason, "Requests and connections refused on that port")
+        .Increment();
+    if (const auto leftOut = m_throttle.admit(std::chrono::steady_clock::now())) {
+        writeLog(
+            LogLevel::Info, "request refused", { { "peer", peer }, { "reason", reason }, { "left_out", *leftOut } });
+    }
 }
 
 Result<std::uint16_t> OperatorServer::listen()
 {
     const auto &listen = m_settings.listen();
-    const QHostAddress address(toQString(listen.address()));
-    const quint16 port = m_server->listen(address, static_cast<quint16>(listen.operator_port()));
-    if (port == 0) {
-        const std::string peer = listen.address() + ":" + std::to_string(listen.operator_port());
-        return Error { ErrorCode::Unavailable, Step::Connect, peer, "can't listen on the operator port" };
-    }
-    return port;
+    return m_server->listen(listen.address(), static_cast<std::uint16_t>(listen.operator_port()));
 }
 
 void OperatorServer::setStatus(StatusSnapshot status)
--- a/lib/Entry/OperatorServer.h
+++ b/lib/Entry/OperatorServer.h
@@ -5,25 +5,30 @@
 #include "Rings.h"
 
 #include <eelgrasscleat/Support/Error.h>
+#include <eelgrasscleat/Support/LogThrottle.h>
 #include <eelgrasscleat/Support/Metrics.h>
+#include <eelgrasscleat/Wire/HttpServer.h>
 
 #include <settings.pb.h>
 
 #include <atomic>
 #include <memory>
-
-class QHttpServer;
+#include <string>
+#include <string_view>
 
 namespace Eelgrasscleat
 {
 
+/// Most log lines in a second about refused requests of operators.
+constexpr std::uint32_t RefusalLinesPerSecond = 5;
+
 /// Serves the HTTP interface of operators. All methods run on the operators' thread.
-class OperatorServer
+class OperatorServer : public HttpServerHandler
 {
 public:
     /// @param ready readiness of the instance, updated by the decision thread
-    OperatorServer(const schema::EntrySettings &settings, const std::atomic<bool> &ready, const Metrics &metrics);
-    ~OperatorServer();
+    OperatorServer(const schema::EntrySettings &settings, const std::atomic<bool> &ready, Metrics &metrics);
+    ~OperatorServer() override;
     OperatorServer(const OperatorServer &) = delete;
     OperatorServer &operator=(const OperatorServer &) = delete;
 
@@ -33,14 +38,19 @@
     /// Replaces the status snapshot by a newer one.
     void setStatus(StatusSnapshot status);
 
+    void requestReceived(HttpRequest request) override;
+    void callerGone(CallerId id) override;
+    void refused(HttpRefusal refusal, const std::string &peer) override;
+
 private:
-    void addRoutes();
+    [[nodiscard]] HttpResponse answer(std::string_view path) const;
 
     schema::EntrySettings m_settings;
     const std::atomic<bool> &m_ready;
-    const Metrics &m_metrics;
+    Metrics &m_metrics;
     StatusSnapshot m_status;
-    std::unique_ptr<QHttpServer> m_server;
+    LogThrottle m_throttle { RefusalLinesPerSecond };
+    std::unique_ptr<HttpServer> m_server;
 };
 
 } // namespace Eelgrasscleat
--- a/test/support/crowd.py
+++ b/test/support/crowd.py
@@ -75,6 +75,12 @@
     yield chunked_head(job) + chunk(b"{}") + b"0\r\nx: " + b"y" * 70000 + b"\r\n\r\n"
 
 
+def endless_body(_):
+    yield b"POST /status HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000000\r\n\r\n"
+    for _ in range(24):
+        yield b"x" * PIECE
+
+
 def endless_chunk_line(job):
     yield chunked_head(job) + b"2;"
     for _ in range(24):
--- a/utils/install-packages.sh
+++ b/utils/install-packages.sh
@@ -5,6 +5,6 @@
 apt-get update -q
 apt-get install -y --no-install-recommends \
     g++ cmake ninja-build ccache pkg-config git python3 curl clang-format clang-tidy \
-    qt6-base-dev qt6-httpserver-dev qt6-websockets-dev libnghttp2-dev prometheus-cpp-dev libtomlplusplus-dev \
+    qt6-base-dev libnghttp2-dev prometheus-cpp-dev libtomlplusplus-dev \
     libtclap-dev liblog4cxx-dev libcppunit-dev libprotobuf-dev protobuf-compiler libreaderwriterqueue-dev \
     libxxhash-dev libboost-dev libssl-dev
