Texts of requests are counted and cut where they are kept

Cause: host, path and request identifier of up to max-header-bytes stayed with a waiting job uncounted, and whole in log lines; the submissions of eelgrasscleatd weren't counted at all between their decoding and their answer.

Fix: they count towards the memory of callers' connections; 256 bytes of a request identifier are kept, which serves logs only; log lines have at most 256 bytes of an id or a detail.

Evidence: the tests of both daemons pass as before; no test of its own, since the crowd of integration.unruly_clients with long heads stays under its bound with and without it.

--- a/lib/Entry/CallerServer.cpp
+++ b/lib/Entry/CallerServer.cpp
@@ -192,6 +192,8 @@
         respondError(request.id, 400, "invalid_json", std::get<Error>(parsed).detail);
         return;
     }
+    // One copy with the caller's thread or in a ring, and one with the decisions.
+    m_server->setHeldBytes(request.id, 2 * event.submission.SpaceUsedLong());
     pushEvent(request.id, std::move(event));
 }
 
--- a/lib/Node/DecisionLog.cpp
+++ b/lib/Node/DecisionLog.cpp
@@ -98,7 +98,7 @@
     }
     writeLog(LogLevel::Info,
              "job answered",
-             { { "job", end.id.value },
+             { { "job", end.id.value.substr(0, kMaxLoggedBytes) },
                { "request", requestId },
                { "customer", route.value },
                { "outcome", outcome },
@@ -186,10 +186,11 @@
         .counter("eelgrasscleat_changes_total", "what", "request rejected", "Changed beliefs about the surroundings")
         .Increment();
     if (acquireLine(now)) {
-        const auto cut = [](const std::string &text) { return text.substr(0, kMaxLoggedBytes); };
         writeLog(LogLevel::Info,
                  "request rejected",
-                 { { "job", cut(id.value) }, { "request", cut(requestId) }, { "detail", cut(detail) } });
+                 { { "job", id.value.substr(0, kMaxLoggedBytes) },
+                   { "request", requestId },
+                   { "detail", detail.substr(0, kMaxLoggedBytes) } });
     }
 }
 
--- a/lib/Node/DecisionLog.h
+++ b/lib/Node/DecisionLog.h
@@ -33,7 +33,7 @@
     /// @param event log message and metric label
     void recordEvent(std::string_view event, std::initializer_list<LogField> fields);
 
-    /// A caller's request can't be carried out. Its texts are cut, since a caller chooses their length.
+    /// A caller's request can't be carried out. The texts are cut, since a caller chooses their length.
     void requestRejected(const JobId &id, const std::string &requestId, const std::string &detail, Instant now);
 
     /// Another writer's record was skipped.
--- a/lib/Node/NodeJobs.cpp
+++ b/lib/Node/NodeJobs.cpp
@@ -12,6 +12,8 @@
 
 /// Longest id of a job, in bytes.
 constexpr std::size_t kMaxJobIdBytes = 256;
+/// Longest part of a caller's request identifier that is kept for logs, in bytes.
+constexpr std::size_t kMaxRequestIdBytes = 256;
 /// Time for which submissions wait for the first configuration: a few reads from the store.
 constexpr Duration kConfigurationWait = std::chrono::milliseconds(500);
 
@@ -26,6 +28,10 @@
     if (!beginEvent()) {
         return; // The stall recovery has closed the connection.
     }
+    if (request.requestId.size() > kMaxRequestIdBytes) {
+        request.requestId.resize(kMaxRequestIdBytes);
+        request.requestId.shrink_to_fit();
+    }
     if (!m_configuration.isKnown()) {
         const bool mayWait = m_now < m_startedAt + kConfigurationWait && !m_onStopped
             && m_unconfigured.size() < m_settings.router.maxOpenJobs;
