Soak: clients that don't behave are among the faults

Two crowds of 40 connections each strike some instances in every run, on the ports of callers, readiness and peers, drawn from a source of their own so that the other faults of a seed stay. The instances have the limits of the smallest machine. The instance that a crowd calls doesn't count as disturbed: its process must not end.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -1,11 +1,22 @@
 """The faults of a run: drawn from its seed ahead of time, so that the same seed gives the same ones in the same order."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import signal
 import time
 
+from support import crowd, peer_crowd
+from support.crowd import Crowd
+
+CROWD_CLIENTS = 40
+# None of their requests is ever complete, so none of them names a job.
+CALLER_CROWDS = (crowd.endless_trailers, crowd.endless_chunk_line, crowd.large_chunks_without_end, crowd.small_chunks_without_end,
+                 crowd.short_lines_without_end, crowd.short_lines_before_open_body)
+PEER_CROWDS = (peer_crowd.unfinished_message, peer_crowd.pings_without_end, peer_crowd.settings_without_end,
+               peer_crowd.headers_without_end)
+
 
 @dataclasses.dataclass
 class Fault:
@@ -32,6 +43,10 @@
     for kind in TARGET_KINDS:
         at = source.uniform(4.0, max(5.0, seconds - 4.0))
         faults.append(Fault(at, kind, source.uniform(2.0, 5.0), source.randrange(1 << 30), source.uniform(0.1, 0.6)))
+    source = random.Random(f"clients {seed}")
+    for _ in range(2):
+        at = source.uniform(4.0, max(5.0, seconds - 4.0))
+        faults.append(Fault(at, "unruly_clients", source.uniform(1.0, 4.0), source.randrange(1 << 30), source.uniform(0.1, 0.6)))
     return sorted(faults, key=lambda it: it.at)
 
 
@@ -225,7 +240,20 @@
         it.shrink(1.0)
 
 
+async def unruly_clients(world, fault):
+    """Crowds on each port that clients reach. Their target isn't disturbed for it: its process must not end."""
+    source = random.Random(fault.who)
+    async with contextlib.AsyncExitStack() as stack:
+        for it in some(world, fault):
+            ports = dict.fromkeys(CALLER_CROWDS, it.front_port) | dict.fromkeys(PEER_CROWDS, it.peer_port)
+            ports[crowd.silence] = it.ready_port
+            for script in source.sample(sorted(ports, key=lambda script: script.__name__), 3):
+                await stack.enter_async_context(Crowd(ports[script], CROWD_CLIENTS, script))
+        await asyncio.sleep(fault.for_s)
+
+
 TARGET_KINDS = {"crashing_tasks": crashing_tasks, "targets_shrink": shrink_targets}
+CLIENT_KINDS = {"unruly_clients": unruly_clients}
 
 KINDS = {
     "freeze": freeze, "kill": kill, "kill_all": kill_all, "roll": roll, "reload": reload,
@@ -268,6 +296,6 @@
         await asyncio.sleep(max(0.0, it.at - (time.monotonic() - began)))
         if it.kind not in ("configure", "reload"):
             world.checks.disturbed(it.for_s)
-        running.append(asyncio.ensure_future((KINDS | TARGET_KINDS)[it.kind](world, it)))
+        running.append(asyncio.ensure_future((KINDS | TARGET_KINDS | CLIENT_KINDS)[it.kind](world, it)))
     await asyncio.gather(*running)
     world.checks.disturbed()
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -76,7 +76,7 @@
             f'node = "{self.name}"\nzone = "{self.zone}"\nip = "127.0.0.1"\n'
             f"port-range = [{self.peer_port}, {self.peer_port}]\n"
             f'[listen]\nfront = "127.0.0.1:{self.front_port}"\nreadiness = "127.0.0.1:{self.ready_port}"\n'
-            f'[limits]\ncpu-quota = 0.25\n[platform]\naddr = "127.0.0.1:{store_port}"\n', encoding="utf-8")
+            f'[limits]\ncpu-quota = 0.25\nmemory-mb = 120\nmax-fds = 3075\n[platform]\naddr = "127.0.0.1:{store_port}"\n', encoding="utf-8")
 
     def start(self):
         with open(self.log_path, "ab") as log:
--- a/test/support/limited.py
+++ b/test/support/limited.py
@@ -43,8 +43,8 @@
     def write_settings(self, store_port):
         super().write_settings(store_port)
         text = self.settings.read_text(encoding="utf-8")
-        limits = f"[limits]\nmemory-mb = {self.memory_mb}\nmax-fds = {self.descriptors}\n"
-        self.settings.write_text(text.replace("[limits]\n", limits), encoding="utf-8")
+        text = text.replace(f"memory-mb = {MEMORY_MB}\n", f"memory-mb = {self.memory_mb}\n")
+        self.settings.write_text(text.replace(f"max-fds = {DESCRIPTORS}\n", f"max-fds = {self.descriptors}\n"), encoding="utf-8")
 
     def start(self):
         limit = (self.descriptors, self.descriptors)
