--- a/unittests/PlatformAdapter/OddEntriesTest.cpp
+++ b/unittests/PlatformAdapter/OddEntriesTest.cpp
@@ -251,8 +251,9 @@
     void configuration_oddLimits_defaultsKept()
     {
         const FleetConfiguration defaults;
-        for (const char *it : { R"({"max-header-bytes":0,"max-body-bytes":4294967296,"idle-timeout-ms":-1,"header-timeout-ms":0})",
-                                R"({"max-header-bytes":"x","max-body-bytes":null,"idle-timeout-ms":1e300,"header-timeout-ms":"1"})" }) {
+        for (const char *it :
+             { R"({"max-header-bytes":0,"max-body-bytes":4294967296,"idle-timeout-ms":-1,"header-timeout-ms":0})",
+               R"({"max-header-bytes":"x","max-body-bytes":null,"idle-timeout-ms":1e300,"header-timeout-ms":"1"})" }) {
             const auto read = decodeConfiguration(QByteArray(R"({"version":3,"routes":[],"limits":)") + it + "}");
             const auto &record = std::get<ConfigurationRecord>(read);
             CPPUNIT_ASSERT_EQUAL(defaults.headerBytes, record.configuration.headerBytes);
