Bytes that wait in the kernel are bounded on the port for peers, and before a connection is accepted

What callers saw: nothing by itself. Unread bytes count as memory of a process; while one stands still they add up.

Cause: 1,024 connections wait to be accepted with whatever has come on them, and the port for peers kept the kernel's buffer size.

Fix: small receive buffers on the port for peers as on the others, counted in a connection's 64 KB; the queue of connections to accept is at most a quarter of those that the port's memory has room for.

Ruled out: a shorter queue for all, which bursts after a freeze would meet on larger machines.

--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -1,22 +1,18 @@
 /// @file
 /// Accepts connections, numbers requests and finds the connection of each answer.
-#include <eelgrasscleat/Support/Log.h>
 #include <eelgrasscleat/Wire/HttpServer.h>
 #include <eelgrasscleat/Wire/QtText.h>
 
 #include "HttpConnection.h"
+#include "ReceiveBuffers.h"
 
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTimer>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <cerrno>
-#include <cstring>
 #include <tuple>
 #include <unordered_map>
 #include <vector>
@@ -29,11 +25,9 @@
     "idle_timeout", "header_timeout",   "evicted",
 };
 
-/// Pending connections that the kernel keeps for us.
-static constexpr int ListenBacklog = 1024;
-
-/// Receive buffer that is asked of the kernel for a connection, in bytes; it takes twice that.
-static constexpr int ReceiveBufferBytes = 16384;
+/// Most and fewest pending connections that the kernel keeps for us, with what has come on them.
+static constexpr std::size_t MaxBacklog = 1024;
+static constexpr std::size_t MinBacklog = 32;
 
 /// Memory of a connection without its requests and answers: a socket's object, a buffer for each direction, and the
 /// kernel's receive buffer, whose unread bytes count as this process's memory on some platforms.
@@ -78,7 +72,9 @@
         : m_handler(handler)
         , m_limits(limits)
     {
-        m_server.setListenBacklogSize(ListenBacklog);
+        // What has come on connections that aren't accepted yet is held, too.
+        const std::size_t backlog = m_limits.heldBytes / ConnectionBytes / 4;
+        m_server.setListenBacklogSize(static_cast<int>(std::clamp(backlog, MinBacklog, MaxBacklog)));
         QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] { acceptAll(); });
         setSweepInterval();
         QObject::connect(&m_sweep, &QTimer::timeout, &m_sweep, [this] { sweep(); });
@@ -92,11 +88,7 @@
             const std::string reason = host.isNull() ? "not an IP number" : m_server.errorString().toStdString();
             return Error { ErrorCode::Unavailable, Step::Connect, address + ":" + std::to_string(port), reason };
         }
-        // Accepted connections inherit it.
-        const auto descriptor = static_cast<int>(m_server.socketDescriptor());
-        if (::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes, sizeof(ReceiveBufferBytes)) != 0) {
-            writeLog(LogLevel::Warn, "receive buffers keep the kernel's size", { { "detail", std::strerror(errno) } });
-        }
+        limitReceiveBuffers(m_server);
         return m_server.serverPort();
     }
 
--- a/lib/Wire/IncomingPeer.cpp
+++ b/lib/Wire/IncomingPeer.cpp
@@ -7,8 +7,9 @@
 namespace Eelgrasscleat
 {
 
-/// Memory of a connection without its unfinished message: a socket's object and buffers, and an HTTP/2 session.
-static constexpr std::size_t ConnectionBytes = 32768;
+/// Memory of a connection without its unfinished message: a socket's object and buffers, the kernel's receive buffer,
+/// and an HTTP/2 session.
+static constexpr std::size_t ConnectionBytes = 65536;
 
 /// Largest piece that Qt reads ahead from the kernel, in bytes.
 static constexpr qint64 ReadBytes = 65536;
--- a/lib/Wire/PeerNetwork.cpp
+++ b/lib/Wire/PeerNetwork.cpp
@@ -8,6 +8,7 @@
 #include "Http2Session.h"
 #include "IncomingPeer.h"
 #include "MessageFramer.h"
+#include "ReceiveBuffers.h"
 
 #include <QElapsedTimer>
 #include <QHostAddress>
@@ -214,6 +215,7 @@
             const std::string peer = address + ":" + std::to_string(port);
             return Error { ErrorCode::Unavailable, Step::Connect, peer, m_server.errorString().toStdString() };
         }
+        limitReceiveBuffers(m_server);
         m_started = true;
         setPeers(m_endpoints);
         return m_server.serverPort();
--- a/test/support/limited.py
+++ b/test/support/limited.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import resource
+import signal
 import subprocess
 import time
 import unittest
@@ -155,6 +156,8 @@
     memory_mb, descriptors = MEMORY_MB, DESCRIPTORS
     # Whether the crowd leaves targets free for others.
     leaves_room = True
+    # Whether the instance stands still while the crowd comes.
+    stands_still = False
 
     def prepare(self, world):
         """Called before the crowd comes."""
@@ -173,9 +176,12 @@
             first = world.victim.process
             self.prepare(world)
             for clients, script, port in crowds:
+                if self.stands_still:
+                    first.send_signal(signal.SIGSTOP)
                 async with Crowd(port(world.victim), clients, script):
                     await asyncio.sleep(STAY_S)
                     world.look()
+                    first.send_signal(signal.SIGCONT)
                     if self.leaves_room:
                         await self._ordinary(world, "beside the crowd")
             await self._ordinary(world, "after the crowd")
--- a/test/test_unruly_clients.py
+++ b/test/test_unruly_clients.py
@@ -85,6 +85,16 @@
         self.check(600, lambda _: iter([b"\0\r\n\r\n"]))
 
 
+class StalledTest(CrowdCase):
+    """What the kernel keeps for a process that reads nothing counts as its memory."""
+
+    memory_mb = 64
+    stands_still = True
+
+    def test_unread_bytes_of_front_port_are_bounded(self):
+        self.check(1000, lambda _: iter([b" " * crowd.PIECE * 4]))
+
+
 class CalmTest(CrowdCase):
     """One legal request alone is served, however odd its lines."""
 
