A caller that finds no room is told when to come back

What callers saw: 503 without Retry-After when all connections of an instance wait for answers.

Fix: Retry-After of 1 s; room comes back with the next answers.

Evidence: HttpServerTest.accept_tooManyConnections_refuses, which now asks for it.

--- a/lib/Wire/HttpConnection.cpp
+++ b/lib/Wire/HttpConnection.cpp
@@ -19,6 +19,9 @@
 /// Largest piece that is read from the socket before it is parsed, in bytes.
 static constexpr std::size_t ReadBytes = 16384;
 
+/// When a client that found no room may come back, in seconds.
+static constexpr std::uint32_t RetryAfterSeconds = 1;
+
 static unsigned statusOf(HttpRefusal refusal)
 {
     switch (refusal) {
@@ -267,6 +270,7 @@
     HttpResponse response;
     response.status = statusOf(refusal);
     response.body = "{\"error\":\"" + std::string(httpRefusalName(refusal)) + "\"}";
+    response.retryAfterSeconds = refusal == HttpRefusal::TooManyConnections ? RetryAfterSeconds : 0;
     Exchange exchange { m_owner.nextId(), false, 0, std::move(response) };
     m_exchanges.push_back(std::move(exchange));
     startParser();
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -224,7 +224,9 @@
         }
         EventLoop::waitFor([this] { return m_handler.requests.size() == 4; });
         QTcpSocket &late = connectCaller();
-        CPPUNIT_ASSERT(readUntil(late, "too_many_connections").startsWith("HTTP/1.1 503"));
+        const QByteArray answer = readUntil(late, "too_many_connections");
+        CPPUNIT_ASSERT(answer.startsWith("HTTP/1.1 503"));
+        CPPUNIT_ASSERT(answer.contains("Retry-After: 1\r\n"));
     }
 
     void heldBytes_incompleteBodiesOverLimit_heaviestClosed()
