A full port refuses all that come while every connection waits

What callers saw: nothing yet; found on reading the new code. While all connections of a port waited for answers, every second newcomer was served beyond the limit: the one before it, refused and not closed yet, had made room for it.

Cause: closing one connection was taken for room, also where there were more than the limit.

Fix: connections are closed until there is room, and if there is none the newcomer is refused. Besides: a connection that ends is counted out before its handler hears of it, so that nothing else is closed for its bytes; a header's time begins when it is parsed, not when bytes came that had to wait behind others.

Evidence: HttpServerTest.accept_allWaitManyMoreCome_noneOfThemServed failed before and passes.

--- a/lib/Wire/HttpConnection.cpp
+++ b/lib/Wire/HttpConnection.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace Eelgrasscleat
 {
@@ -96,7 +97,8 @@
         if (!m_input.empty() && parse()) {
             continue;
         }
-        const qint64 n = m_closing || m_closed ? 0 : m_socket->read(buf.data(), ReadBytes);
+        // A request that has just been parsed may have been the last.
+        const qint64 n = mayRead() ? m_socket->read(buf.data(), ReadBytes) : 0;
         if (n <= 0) {
             break;
         }
@@ -113,7 +115,7 @@
 bool HttpConnection::parse()
 {
     if (!m_parser->hasBegun()) {
-        m_headBegan = m_lastByte;
+        m_headBegan = std::chrono::steady_clock::now();
     }
     std::size_t used = 0;
     const RequestParser::Outcome outcome = m_parser->take(m_input, used);
@@ -264,7 +266,7 @@
         return;
     }
     m_closing = true;
-    m_input.clear();
+    m_input = {};
     m_owner.connectionRefused(refusal, m_peer);
     // The error is the answer to the newest request, so it goes out after the answers of those before it.
     HttpResponse response;
@@ -338,17 +340,17 @@
         return;
     }
     m_closed = true;
-    for (const Exchange &it : m_exchanges) {
-        if (!it.response) {
-            m_owner.requestAbandoned(it.id);
-        }
-    }
-    m_exchanges.clear();
+    const std::deque<Exchange> abandoned = std::exchange(m_exchanges, {});
     m_exchangeBytes = 0;
     m_input = {};
     startParser();
     m_owner.connectionClosed();
     updateHeldBytes();
+    for (const Exchange &it : abandoned) {
+        if (!it.response) {
+            m_owner.requestAbandoned(it.id);
+        }
+    }
 }
 
 bool HttpConnection::isClosed() const
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -217,16 +217,18 @@
     void acceptAll()
     {
         while (QTcpSocket *socket = m_server.nextPendingConnection()) {
+            while (m_open >= m_limits.connections && closeLeastActive()) { }
+            const bool isFull = m_open >= m_limits.connections;
             removeClosed();
             auto connection = std::make_unique<HttpConnection>(socket, *this, m_limits);
-            if (m_open >= m_limits.connections && !closeLeastActive()) {
+            ++m_open;
+            if (isFull) {
                 connection->refuse(HttpRefusal::TooManyConnections);
             }
             if (m_closeAfterAnswers) {
                 connection->closeAfterFirstAnswer();
             }
             m_connections.push_back(std::move(connection));
-            ++m_open;
             relieve();
         }
     }
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -11,6 +11,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <functional>
 #include <vector>
 
@@ -62,6 +63,7 @@
     CPPUNIT_TEST(heldBytes_largestRequestAlone_served);
     CPPUNIT_TEST(respond_answersNotTaken_furtherRequestsWait);
     CPPUNIT_TEST(accept_tooManyConnections_refuses);
+    CPPUNIT_TEST(accept_allWaitManyMoreCome_noneOfThemServed);
     CPPUNIT_TEST(accept_tooManyConnectionsAndOneIdle_idleClosed);
     CPPUNIT_TEST(closeAfterAnswers_pendingAndIdle_closesEachWhenAnswered);
     CPPUNIT_TEST_SUITE_END();
@@ -310,6 +312,29 @@
         CPPUNIT_ASSERT(m_handler.refusals.empty());
     }
 
+    void accept_allWaitManyMoreCome_noneOfThemServed()
+    {
+        for (int i = 0; i < 4; ++i) {
+            connectCaller().write(post("/a", "1"));
+        }
+        EventLoop::waitFor([this] { return m_handler.requests.size() == 4; });
+        // All come before the server looks, so that those refused first are still open.
+        for (int i = 0; i < 10; ++i) {
+            m_sockets.push_back(std::make_unique<QTcpSocket>());
+            m_sockets.back()->connectToHost(QHostAddress::LocalHost, m_port);
+            CPPUNIT_ASSERT(m_sockets.back()->waitForConnected());
+            m_sockets.back()->write(post("/late", "2"));
+        }
+        const auto refused = [this] {
+            return std::count(m_handler.refusals.begin(), m_handler.refusals.end(), HttpRefusal::TooManyConnections);
+        };
+        EventLoop::waitFor([&refused] { return refused() == 10; });
+        const QTcpSocket &last = *m_sockets.back();
+        EventLoop::waitFor([&last] { return last.state() == QAbstractSocket::UnconnectedState; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, m_handler.requests.size());
+        CPPUNIT_ASSERT(m_server->connectionCount() <= 5);
+    }
+
     void accept_tooManyConnectionsAndOneIdle_idleClosed()
     {
         for (int i = 0; i < 3; ++i) {
