Submissions of too many tasks are refused before they are decoded

What operators saw: one submission of legal size to eelgrasscleatd, with 1,390,000 empty tasks, took 200 MB before it was refused, whoever sent it.

Cause: the tasks were counted after decoding, which takes 50 times the bytes of an empty task.

Fix: commas outside of texts bound the values of a document; above eight for each allowed task and 64 more, the answer is the same TOO_MANY_TASKS, not run. A job of 550 tasks with all fields has half of that. The tests of unruly clients also print what they measured.

Ruled out: the node's decoding.

--- a/lib/Entry/CallerServer.cpp
+++ b/lib/Entry/CallerServer.cpp
@@ -20,6 +20,11 @@
 
 static const std::string BearerPrefix = "Bearer ";
 
+/// Commas in the JSON of a submission: a task has five fields and is followed by one; the submission has seven other
+/// fields.
+static constexpr std::size_t CommasPerTask = 8;
+static constexpr std::size_t OtherCommas = 64;
+
 /// Path and query of a caller's request, parsed.
 struct CallerPath
 {
@@ -183,6 +188,18 @@
 
 void CallerServer::handleSubmit(const HttpRequest &request, const CallerCredentials &credentials, bool wait)
 {
+    // Decoded, a task takes 50 times its bytes, so their number is bounded before.
+    if (countCommas(request.body) > m_settings.callers().tasks() * CommasPerTask + OtherCommas) {
+        m_metrics.counter("eelgrasscleat_answers_total", "reason", "TOO_MANY_TASKS", "Answers to callers by reason")
+            .Increment();
+        schema::SubmissionAnswer answer;
+        answer.set_status(schema::ANSWER_STATUS_FAILED);
+        answer.set_reason(schema::FAILURE_REASON_TOO_MANY_TASKS);
+        answer.set_certainty(schema::RUN_CERTAINTY_NOT_RUN);
+        answer.set_detail("tasks: at most " + std::to_string(m_settings.callers().tasks()) + " allowed");
+        m_server->respond(request.id, toResponse(answer));
+        return;
+    }
     SubmitRequested event;
     event.caller = CallerIds::fromHttp(request.id);
     event.credentials = credentials;
--- a/lib/Wire/JsonCodec.cpp
+++ b/lib/Wire/JsonCodec.cpp
@@ -19,6 +19,22 @@
     return status.ok() ? json : "{}";
 }
 
+std::size_t countCommas(std::string_view json)
+{
+    std::size_t commas = 0;
+    bool isText = false;
+    for (std::size_t i = 0; i < json.size(); ++i) {
+        if (isText && json[i] == '\\') {
+            ++i; // Whatever is escaped ends no text.
+        } else if (json[i] == '"') {
+            isText = !isText;
+        } else if (!isText && json[i] == ',') {
+            ++commas;
+        }
+    }
+    return commas;
+}
+
 Result<Done> fromJson(const std::string &json, google::protobuf::Message &message)
 {
     google::protobuf::util::JsonParseOptions options;
--- a/test/support/limited.py
+++ b/test/support/limited.py
@@ -186,6 +186,7 @@
                         await self._ordinary(world, "beside the crowd")
             await self._ordinary(world, "after the crowd")
             world.look()
+            print(f"{self.id().split('.')[-1]}: {world.most_kb} KB, {world.most_sockets} sockets", flush=True)
             self.assertIs(world.victim.process, first, "another process")
             self.assertIsNone(first.poll(), "the process has ended")
             self.assertLess(world.most_kb, self.memory_mb * 1024, "memory, KB")
--- a/test/support/processes.py
+++ b/test/support/processes.py
@@ -101,10 +101,17 @@
 
     def resident_kilobytes(self):
         """Memory in use, from the kernel."""
+        return self._kilobytes("VmRSS:")
+
+    def peak_kilobytes(self):
+        """The most memory that has been in use."""
+        return self._kilobytes("VmHWM:")
+
+    def _kilobytes(self, name):
         for line in pathlib.Path(f"/proc/{self.pid}/status").read_text(encoding="ascii").splitlines():
-            if line.startswith("VmRSS:"):
+            if line.startswith(name):
                 return int(line.split()[1])
-        raise AssertionError("no VmRSS")
+        raise AssertionError(f"no {name}")
 
     def __enter__(self):
         return self
