--- a/include/eelgrasscleat/Wire/JsonCodec.h
+++ b/include/eelgrasscleat/Wire/JsonCodec.h
@@ -19,8 +19,8 @@
 /// @returns the message as one line of JSON, fields with default values included.
 std::string toJson(const google::protobuf::Message &message);
 
-/// @returns the number of commas in @p json outside of its texts: a bound on its values that is known before any memory is
-/// taken for them.
+/// @returns the number of commas in @p json outside of its texts: a bound on its values that is known before any memory
+/// is taken for them.
 std::size_t countCommas(std::string_view json);
 
 /// Fills @p message from JSON.
