--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -25,9 +25,7 @@
 HOST = "desk.example"
 SERVICE = "desk"
 # Bounds of the sheet of Prairie Plaque.
-RESEND_S = 1.3
 DEADLINE_S = 1.5
-STOP_S = 0.05
 CANCEL_S = 3.0
 READY_BOUND_S = 20.0
 
@@ -263,17 +261,6 @@
         job.attempts.append((sent, status, state))
         return status, state
 
-    async def submit_until_answered(self, job, instance, others, queue=1, deadline_s=DEADLINE_S, attempts=3):
-        """As the page says: after no answer, a broken channel, 502 or 504 it is sent again, at any node."""
-        status, state = 0, ""
-        for _ in range(attempts):
-            status, state = await self.submit(job, instance, queue, deadline_s)
-            if status not in (0, 502, 504):
-                break
-            await asyncio.sleep(RESEND_S)
-            instance = self.random.choice(others)
-        return status, state
-
     async def stop(self):
         for it in self.instances:
             it.signal(signal.SIGCONT)
